--- a/src/bin/reedtray-adapter/main.rs
+++ b/src/bin/ashtide-adapter/main.rs
@@ -11,7 +11,7 @@
     match wire::serve(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            let _ = writeln!(io::stderr(), "reedtray-adapter: {error}");
+            let _ = writeln!(io::stderr(), "ashtide-adapter: {error}");
             ExitCode::from(2)
         }
     }
--- a/src/bin/reedtray-adapter/wire.rs
+++ b/src/bin/ashtide-adapter/wire.rs
@@ -1,12 +1,11 @@
 //! Parsing and printing of the wire. Translates names to numbers and back; decides nothing.
 
-mod facts;
-
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write};
 
-use reedtray::{
+use ashtide::facts::{Facts, Interner, Names, span};
+use ashtide::{
     Action, Balancer, CellId, ClassId, Event, GroupId, KindId, ListNews, Listing, Outcome, PeerId, Report,
     Request, RequestId, ServerId, ServerState, Span, TenantId, Time, TimerToken, ZoneId,
 };
@@ -29,25 +28,6 @@
 
 type Parsed<T> = Result<T, String>;
 
-/// Numbers names in the order of their first appearance.
-#[derive(Default)]
-struct Interner {
-    numbers: HashMap<String, u32>,
-    names: Vec<String>,
-}
-
-impl Interner {
-    fn intern(&mut self, name: &str) -> u32 {
-        if let Some(&number) = self.numbers.get(name) {
-            return number;
-        }
-        let number = self.names.len() as u32;
-        self.numbers.insert(name.to_owned(), number);
-        self.names.push(name.to_owned());
-        number
-    }
-}
-
 /// One line's fields: `name=value` pairs in any order.
 struct Fields<'a> {
     pairs: Vec<(&'a str, &'a str)>,
@@ -125,11 +105,6 @@
     value.parse().map_err(|_| bad())
 }
 
-/// Seconds as whole microseconds; what is no number counts as zero.
-fn span(seconds: f64) -> Span {
-    Span::from_micros((seconds * 1e6).round() as i64)
-}
-
 fn time(seconds: f64) -> Time {
     Time::from_micros(span(seconds).as_micros())
 }
@@ -171,44 +146,29 @@
 /// One relay: its module and the names it has met.
 struct Relay {
     module: Balancer,
-    servers: Interner,
-    zones: Interner,
-    kinds: Interner,
-    classes: HashMap<String, u32>,
-    tenants: HashMap<String, u32>,
+    names: Names,
     groups: Interner,
 }
 
 impl Relay {
     fn start(fields: &Fields) -> Parsed<Self> {
         let seed = fields.whole("initSeed")?;
-        let facts = facts::Facts::parse(fields.need("facts")?)
-            .map_err(|e| format!("field 'facts' cannot be read: {e}"))?;
-        let number = |names: Vec<String>| (0u32..).zip(names).map(|(i, n)| (n, i)).collect();
-        let (mut zones, mut kinds) = (Interner::default(), Interner::default());
-        facts.azs.iter().for_each(|zone| _ = zones.intern(zone));
-        facts.shapes.iter().for_each(|kind| _ = kinds.intern(kind));
-        let settings = facts.settings(ZoneId(zones.intern(&facts.zone)))?;
-        Ok(Self {
-            module: Balancer::new(settings, seed),
-            servers: Interner::default(),
-            zones,
-            kinds,
-            classes: number(facts.classes.iter().map(|c| c.name.clone()).collect()),
-            tenants: number(facts.customers.iter().map(|c| c.name.clone()).collect()),
-            groups: Interner::default(),
-        })
+        let facts =
+            Facts::parse(fields.need("facts")?).map_err(|e| format!("field 'facts' cannot be read: {e}"))?;
+        let names = facts.names();
+        let module = Balancer::new(facts.settings(&names)?, seed);
+        Ok(Self { module, names, groups: Interner::default() })
     }
 
     fn server(&mut self, fields: &Fields) -> Parsed<ServerId> {
-        Ok(ServerId(self.servers.intern(fields.need("backend")?)))
+        Ok(ServerId(self.names.servers.intern(fields.need("backend")?)))
     }
 
     fn listing(&mut self, row: &Row) -> Listing {
         Listing {
-            server: ServerId(self.servers.intern(&row.server)),
-            zone: ZoneId(self.zones.intern(&row.zone)),
-            kind: KindId(self.kinds.intern(&row.kind)),
+            server: ServerId(self.names.servers.intern(&row.server)),
+            zone: ZoneId(self.names.zones.intern(&row.zone)),
+            kind: KindId(self.names.kinds.intern(&row.kind)),
             cell: CellId(row.cell),
             state: row.state,
             size: row.size,
@@ -218,14 +178,15 @@
 
     fn request(&mut self, fields: &Fields) -> Parsed<Request> {
         let band = fields.need("band")?;
-        let class = *self
+        let class = self
+            .names
             .classes
-            .get(band)
+            .find(band)
             .ok_or_else(|| format!("class '{}' is not in the settings", shorten(band)))?;
         Ok(Request {
             id: RequestId(fields.whole32("opId")?),
             class: ClassId(class),
-            tenant: fields.get("owner").and_then(|t| self.tenants.get(t)).copied().map(TenantId),
+            tenant: fields.get("owner").and_then(|t| self.names.tenants.find(t)).map(TenantId),
             group: fields.get("room").map(|room| GroupId(self.groups.intern(room))),
             time_left: fields.span("ttl")?,
             load: fields.number("workHint")?,
@@ -410,7 +371,7 @@
         if let Some(event) = relay.event(name, &fields, &self.slots)? {
             relay.module.handle(now, event, &mut self.actions);
             for action in self.actions.drain(..) {
-                print(out, number, &relay.servers.names, &action);
+                print(out, number, relay.names.servers.names(), &action);
             }
         }
         Ok(())
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,4 +1,4 @@
-//! All decisions of reedtray. The types, events and actions are in `interface.rs`.
+//! All decisions of ashtide. The types, events and actions are in `interface.rs`.
 //!
 //! Read it as a connection travels: list, readiness, draw and compare, attempt, outcome, final
 //! answer; then cold starts, health and timers. The ordinary path is two ready servers drawn at
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,243 @@
+//! Discovery: the server list, and the chunked HTTP answer in which a watch tells its changes.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::{Buf, BytesMut};
+use serde::Deserialize;
+use tokio_util::codec::Decoder;
+
+use crate::interface::ServerState;
+
+/// Longest head of an answer.
+const MAX_HEAD: usize = 8 << 10;
+/// Longest line of a watch: thousands of entries.
+const MAX_NEWS: usize = 1 << 20;
+/// Longest chunk-size line, its extension included.
+const MAX_SIZE_LINE: usize = 256;
+
+/// One entry of the list.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Entry {
+    /// The server's name.
+    pub name: String,
+    /// Where this gateway reaches it.
+    pub address: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Its kind of machine.
+    #[serde(default, rename = "type")]
+    pub kind: String,
+    /// Its cell.
+    #[serde(default)]
+    pub group: u32,
+    /// Its state.
+    pub status: Status,
+    /// Its size.
+    #[serde(default = "one")]
+    pub weight: f64,
+    /// Its last start in Unix time, in milliseconds; 0 means long ago.
+    #[serde(default)]
+    pub since_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A server's state as the list words it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Status {
+    /// Takes new connections.
+    Serving,
+    /// Finishes what it has.
+    Draining,
+    /// Taken off the list.
+    Deleted,
+}
+
+impl From<Status> for ServerState {
+    fn from(status: Status) -> Self {
+        match status {
+            Status::Serving => ServerState::Ready,
+            Status::Draining => ServerState::Draining,
+            Status::Deleted => ServerState::Gone,
+        }
+    }
+}
+
+/// The whole list or changes to it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct News {
+    /// The list's version.
+    #[serde(default)]
+    pub index: u64,
+    /// Whether this is the whole list.
+    #[serde(default)]
+    pub snapshot: bool,
+    /// The entries.
+    pub endpoints: Vec<Entry>,
+}
+
+/// Why a watch is over.
+#[derive(Debug, thiserror::Error)]
+pub enum WatchError {
+    /// The head is no HTTP answer, or the answer is not chunked.
+    #[error("not a chunked HTTP answer: {0}")]
+    Head(&'static str),
+    /// Discovery would not.
+    #[error("status {0}")]
+    Status(u16),
+    /// The chunks do not follow HTTP.
+    #[error("bad chunk")]
+    Chunk,
+    /// A line is no list.
+    #[error("bad list: {0}")]
+    List(#[from] serde_json::Error),
+    /// A head or a line is over its bound.
+    #[error("over-long {0}")]
+    TooLong(&'static str),
+    /// The socket failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// What a watch tells.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WatchEvent {
+    /// A list or changes.
+    News(News),
+    /// Nothing new: discovery is still there.
+    Beat,
+}
+
+/// The request that opens a watch for what came after version `after`.
+pub fn watch_request(host: &str, after: u64) -> String {
+    format!(
+        "GET /v1/endpoints?watch=1&after={after} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
+    )
+}
+
+#[derive(Debug, Default)]
+enum Part {
+    #[default]
+    Head,
+    Size,
+    Data(u64),
+    AfterData,
+    End,
+}
+
+/// Reads a watch's answer: head, chunks, and the lines in them.
+#[derive(Debug, Default)]
+pub struct WatchCodec {
+    part: Part,
+    /// The line that the chunks so far have begun.
+    line: BytesMut,
+    ready: VecDeque<WatchEvent>,
+}
+
+impl WatchCodec {
+    fn head(&mut self, buffer: &mut BytesMut) -> Result<bool, WatchError> {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut answer = httparse::Response::new(&mut headers);
+        match answer.parse(buffer) {
+            Ok(httparse::Status::Complete(length)) => {
+                let status = answer.code.unwrap_or_default();
+                if status != 200 {
+                    return Err(WatchError::Status(status));
+                }
+                let chunked = answer.headers.iter().any(|h| {
+                    h.name.eq_ignore_ascii_case("transfer-encoding")
+                        && h.value.eq_ignore_ascii_case(b"chunked")
+                });
+                if !chunked {
+                    return Err(WatchError::Head("no chunks"));
+                }
+                buffer.advance(length);
+                self.part = Part::Size;
+                Ok(true)
+            }
+            Ok(httparse::Status::Partial) if buffer.len() > MAX_HEAD => Err(WatchError::TooLong("head")),
+            Ok(httparse::Status::Partial) => Ok(false),
+            Err(_) => Err(WatchError::Head("no HTTP")),
+        }
+    }
+
+    fn size(&mut self, buffer: &mut BytesMut) -> Result<bool, WatchError> {
+        match httparse::parse_chunk_size(buffer) {
+            Ok(httparse::Status::Complete((length, size))) => {
+                buffer.advance(length);
+                self.part = if size == 0 { Part::End } else { Part::Data(size) };
+                Ok(true)
+            }
+            Ok(httparse::Status::Partial) if buffer.len() <= MAX_SIZE_LINE => Ok(false),
+            _ => Err(WatchError::Chunk),
+        }
+    }
+
+    fn data(&mut self, left: u64, buffer: &mut BytesMut) -> Result<bool, WatchError> {
+        if buffer.is_empty() {
+            return Ok(false);
+        }
+        let take = usize::try_from(left).unwrap_or(usize::MAX).min(buffer.len());
+        for &byte in &buffer[..take] {
+            if byte != b'\n' {
+                self.line.extend_from_slice(&[byte]);
+            } else {
+                let line = self.line.split();
+                self.ready.push_back(if line.trim_ascii().is_empty() {
+                    WatchEvent::Beat
+                } else {
+                    WatchEvent::News(serde_json::from_slice(&line)?)
+                });
+            }
+        }
+        if self.line.len() > MAX_NEWS {
+            return Err(WatchError::TooLong("line"));
+        }
+        buffer.advance(take);
+        let left = left - take as u64;
+        self.part = if left == 0 { Part::AfterData } else { Part::Data(left) };
+        Ok(true)
+    }
+}
+
+impl Decoder for WatchCodec {
+    type Item = WatchEvent;
+    type Error = WatchError;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<WatchEvent>, WatchError> {
+        loop {
+            if let Some(event) = self.ready.pop_front() {
+                return Ok(Some(event));
+            }
+            let more = match self.part {
+                Part::Head => self.head(buffer)?,
+                Part::Size => self.size(buffer)?,
+                Part::Data(left) => self.data(left, buffer)?,
+                Part::AfterData if buffer.len() < 2 => false,
+                Part::AfterData if buffer.starts_with(b"\r\n") => {
+                    buffer.advance(2);
+                    self.part = Part::Size;
+                    true
+                }
+                Part::AfterData => return Err(WatchError::Chunk),
+                Part::End => {
+                    buffer.clear();
+                    false
+                }
+            };
+            if !more {
+                return Ok(None);
+            }
+        }
+    }
+
+    fn decode_eof(&mut self, buffer: &mut BytesMut) -> Result<Option<WatchEvent>, WatchError> {
+        self.decode(buffer)
+    }
+}
--- /dev/null
+++ b/src/engine.rs
@@ -0,0 +1,493 @@
+//! The core: requests, attempts and outcomes, whatever wire they came by.
+//!
+//! The engine owns the decision module and does the bookkeeping round it. Fronts tell it of
+//! requests and of what became of attempts; it returns effects for them to carry out. It holds two
+//! promises whatever the module or a front does: a request gets one final answer, and never has two
+//! attempts out. It reads no clock: every call is told the time, and its wheel wakes the driver.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::future::poll_fn;
+use std::task::Poll;
+
+use tokio::time::Instant;
+use tokio_util::time::{DelayQueue, delay_queue::Key};
+
+use crate::brain::Balancer;
+use crate::interface::*;
+
+/// A connection whose oldest message has waited this long for the server is moved: the protocol
+/// allows 7 s from the last line returned, and clients send one every 2 s.
+const SILENT: Span = Span::from_micros(4_300_000);
+/// How often standing connections are looked over for silence, and servers for slow messages.
+const SWEEP: Span = Span::from_micros(250_000);
+/// How often the module hears of a server whose messages are slow.
+const NOTE_EVERY: Span = Span::from_micros(1_000_000);
+/// Messages are slow from this part of the shortest message aim on.
+const SLOW_PART: f64 = 1.0 / 3.0;
+/// Connections of a server that is gone from the list are moved within this time.
+const GONE_OVER: Span = Span::from_micros(1_000_000);
+/// Longest wait that the wheel is asked for.
+const LONGEST: Span = Span::from_micros(86_400_000_000);
+
+/// A final answer that is not service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Turned away; trying again is harmless after this long (zero: no advice).
+    Refused(Span),
+    /// Failed; nothing is promised.
+    Failed,
+}
+
+/// What a front or a driver is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Make this attempt; the engine itself ends it after `timeout`.
+    Attempt {
+        /// Which request.
+        id: RequestId,
+        /// Number of the attempt, from 0.
+        attempt: u32,
+        /// Where.
+        server: ServerId,
+        /// How long the engine will wait.
+        timeout: Span,
+    },
+    /// Give this attempt up now: nothing of it may be out afterwards.
+    Close {
+        /// Which request.
+        id: RequestId,
+        /// Which of its attempts.
+        attempt: u32,
+    },
+    /// Give the client this final answer.
+    Answer {
+        /// Which request.
+        id: RequestId,
+        /// What to answer.
+        answer: Answer,
+    },
+    /// Send the client of this standing connection away politely, and end it.
+    Move {
+        /// Which request.
+        id: RequestId,
+    },
+    /// Probe a server.
+    Probe {
+        /// Which.
+        server: ServerId,
+    },
+    /// Follow the server list from now on.
+    Subscribe,
+}
+
+/// What has come due on the wheel. Opaque to drivers: hand it back to [`Engine::fire`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// A timer of the module.
+    Module(TimerToken),
+    /// An attempt's time is up.
+    Attempt(RequestId, u32),
+    /// A standing connection's turn to be moved.
+    Move(RequestId),
+    /// Time to look over the standing connections.
+    Sweep,
+    /// No request may be left open any longer: this process is leaving.
+    Leave,
+}
+
+struct Out {
+    attempt: u32,
+    server: ServerId,
+    sent: Time,
+    timeout: Option<Key>,
+    established: bool,
+    /// When the oldest message that the server has not answered was passed on.
+    asked: Option<Time>,
+}
+
+#[derive(Default)]
+struct Record {
+    attempts: u32,
+    out: Option<Out>,
+}
+
+/// How long messages take at a server, as the connections here show it.
+#[derive(Default)]
+struct Pulse {
+    state: ServerState,
+    /// The shortest answer since the last look.
+    took: Option<Span>,
+    noted: Option<Time>,
+    slow: bool,
+}
+
+/// The core of one gateway.
+pub struct Engine {
+    module: Balancer,
+    records: BTreeMap<RequestId, Record>,
+    pulses: BTreeMap<ServerId, Pulse>,
+    wheel: DelayQueue<Due>,
+    tick: Span,
+    slow_from: Span,
+    anchor: (Time, Instant),
+    /// The latest time told.
+    told: Time,
+    /// Set while leaving: connections that come up are moved at this time.
+    leaving: Option<Time>,
+    inbox: VecDeque<Event>,
+}
+
+impl Engine {
+    /// An engine whose `Time` runs from `anchor`, a pair of simultaneous readings.
+    ///
+    /// Must be called, and used, inside a tokio runtime with a timer: the wheel lives there.
+    pub fn new(settings: Settings, seed: u64, anchor: (Time, Instant)) -> Self {
+        let aims = settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > Span::ZERO);
+        let slow_from = aims.min().map_or(Span::ZERO, |aim| aim.scale(SLOW_PART));
+        let tick = settings.tick.max(Span::from_micros(1_000));
+        let mut engine = Self {
+            module: Balancer::new(settings, seed),
+            records: BTreeMap::new(),
+            pulses: BTreeMap::new(),
+            wheel: DelayQueue::new(),
+            tick,
+            slow_from,
+            anchor,
+            told: anchor.0,
+            leaving: None,
+            inbox: VecDeque::new(),
+        };
+        engine.schedule(anchor.0 + SWEEP, Due::Sweep);
+        engine
+    }
+
+    /// Waits for the next thing due on the wheel.
+    pub async fn due(&mut self) -> Due {
+        poll_fn(|cx| match self.wheel.poll_expired(cx) {
+            Poll::Ready(Some(expired)) => Poll::Ready(expired.into_inner()),
+            Poll::Ready(None) | Poll::Pending => Poll::Pending,
+        })
+        .await
+    }
+
+    /// How many requests and connections are not over.
+    pub fn open(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether a request or its connection is not over.
+    pub fn holds(&self, id: RequestId) -> bool {
+        self.records.contains_key(&id)
+    }
+
+    /// How many connections the module counts on a server, attempts included.
+    pub fn open_on(&self, server: ServerId) -> u32 {
+        self.module.open_connections(server)
+    }
+
+    /// News of the server list.
+    pub fn list(&mut self, now: Time, news: ListNews, entries: Vec<Listing>, out: &mut Vec<Effect>) {
+        if matches!(news, ListNews::Whole | ListNews::Stale) {
+            self.pulses.values_mut().for_each(|pulse| pulse.state = ServerState::Gone);
+        }
+        for entry in &entries {
+            self.pulses.entry(entry.server).or_default().state = entry.state;
+        }
+        self.run(now, Event::List { news, entries }, out);
+        // What is still on a server that has been taken off the list would be cut off without a word.
+        let left: Vec<RequestId> = self
+            .standing()
+            .filter(|(_, out)| self.pulses.get(&out.server).is_some_and(|p| p.state == ServerState::Gone))
+            .map(|(id, _)| id)
+            .collect();
+        self.pace_moves(now, GONE_OVER, &left);
+    }
+
+    /// A client asks for a connection.
+    pub fn request(&mut self, now: Time, request: Request, out: &mut Vec<Effect>) {
+        // An id in use would give one request two answers, so its second bearer gets none here.
+        if self.records.contains_key(&request.id) {
+            return;
+        }
+        self.records.insert(request.id, Record::default());
+        self.run(now, Event::Request(request), out);
+    }
+
+    /// A connection that stood at `server` before this process did.
+    pub fn existing(&mut self, now: Time, request: Request, server: ServerId, out: &mut Vec<Effect>) {
+        let connection = Out { attempt: 0, server, sent: now, timeout: None, established: true, asked: None };
+        let record = Record { attempts: 1, out: Some(connection) };
+        if self.records.contains_key(&request.id) {
+            return;
+        }
+        self.records.insert(request.id, record);
+        self.run(now, Event::Existing { request, server }, out);
+    }
+
+    /// An attempt's connection stands: the client has been served.
+    pub fn established(&mut self, now: Time, id: RequestId, attempt: u32, out: &mut Vec<Effect>) {
+        let Some(open) = self.out(id, attempt).filter(|open| !open.established) else { return };
+        open.established = true;
+        let (sent, timeout) = (open.sent, open.timeout.take());
+        self.cancel(timeout);
+        self.run(now, Event::Established { id, attempt, after: now.since(sent) }, out);
+        if let Some(at) = self.leaving {
+            self.schedule(at, Due::Move(id));
+        }
+    }
+
+    /// An attempt, or the connection that came of it, has ended. Late news of an attempt that the
+    /// engine has given up is no news.
+    pub fn ended(&mut self, now: Time, id: RequestId, attempt: u32, outcome: Outcome, out: &mut Vec<Effect>) {
+        self.end(id, attempt, outcome);
+        self.drain(now, out);
+    }
+
+    /// The client has gone.
+    pub fn client_left(&mut self, now: Time, id: RequestId, out: &mut Vec<Effect>) {
+        let Some(record) = self.records.get(&id) else { return };
+        match &record.out {
+            Some(Out { established: true, attempt, .. }) => {
+                let attempt = *attempt;
+                self.end(id, attempt, Outcome::Cancelled);
+            }
+            open => {
+                let attempt = open.as_ref().map(|open| open.attempt);
+                self.inbox.push_back(Event::ClientLeft { id });
+                self.finish(id, attempt, out);
+            }
+        }
+        self.drain(now, out);
+    }
+
+    /// A message of the client was passed on to the server.
+    pub fn asked(&mut self, now: Time, id: RequestId) {
+        if let Some(open) = self.records.get_mut(&id).and_then(|r| r.out.as_mut()) {
+            open.asked.get_or_insert(now);
+        }
+    }
+
+    /// The server has sent something on the connection.
+    pub fn answered(&mut self, now: Time, id: RequestId) {
+        let Some(open) = self.records.get_mut(&id).and_then(|r| r.out.as_mut()) else { return };
+        if let Some(asked) = open.asked.take() {
+            let took = now.since(asked);
+            let pulse = self.pulses.entry(open.server).or_default();
+            pulse.took = Some(pulse.took.map_or(took, |before| before.min(took)));
+        }
+    }
+
+    /// A connection's load has changed.
+    pub fn load(&mut self, now: Time, id: RequestId, load: f64, out: &mut Vec<Effect>) {
+        self.run(now, Event::LoadChanged { id, load }, out);
+    }
+
+    /// A probe has come back.
+    pub fn probed(&mut self, now: Time, server: ServerId, ok: bool, out: &mut Vec<Effect>) {
+        self.run(now, Event::Probed { server, ok, report: None }, out);
+    }
+
+    /// This process leaves: every standing connection is moved, spread over `over`, those that come
+    /// up later at its end; after `last` no request stays unanswered.
+    pub fn leave(&mut self, now: Time, over: Span, last: Span) {
+        let standing: Vec<RequestId> = self.standing().map(|(id, _)| id).collect();
+        self.pace_moves(now, over, &standing);
+        self.leaving = Some(now + over);
+        self.schedule(now + last, Due::Leave);
+    }
+
+    /// Carries out what came due.
+    pub fn fire(&mut self, now: Time, due: Due, out: &mut Vec<Effect>) {
+        match due {
+            Due::Module(token) => self.run(now, Event::Timer(token), out),
+            Due::Attempt(id, attempt) => {
+                if let Some(open) = self.out(id, attempt).filter(|open| !open.established) {
+                    open.timeout = None;
+                    out.push(Effect::Close { id, attempt });
+                    self.end(id, attempt, Outcome::TimedOut);
+                }
+            }
+            Due::Move(id) => self.send_away(id, Outcome::Cancelled, out),
+            Due::Sweep => self.sweep(now, out),
+            Due::Leave => {
+                let open: Vec<RequestId> = self.records.keys().copied().collect();
+                for id in open {
+                    self.send_away(id, Outcome::Cancelled, out);
+                    if self.records.contains_key(&id) {
+                        self.answer(id, Answer::Refused(GONE_OVER), out);
+                    }
+                }
+            }
+        }
+        self.drain(now, out);
+    }
+
+    // ---- Silence and slowness ---------------------------------------------------------------
+
+    /// Moves connections whose server has gone silent, and tells the module of slow servers as the
+    /// simulator does: once a second while they are slow, and once more when they are not.
+    fn sweep(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.schedule(now + SWEEP, Due::Sweep);
+        let mut waits: BTreeMap<ServerId, Span> = BTreeMap::new();
+        let mut silent = Vec::new();
+        for (id, open) in self.standing() {
+            let Some(asked) = open.asked else { continue };
+            let waited = now.since(asked);
+            let longest = waits.entry(open.server).or_default();
+            *longest = waited.max(*longest);
+            if waited >= SILENT {
+                silent.push(id);
+            }
+        }
+        for (&server, pulse) in &mut self.pulses {
+            let due = pulse.noted.is_none_or(|at| now.since(at) >= NOTE_EVERY);
+            if !due || self.slow_from == Span::ZERO {
+                continue;
+            }
+            // A message still out says more than the last that came back.
+            let waited = waits.get(&server).copied().unwrap_or_default();
+            let Some(takes) = pulse.took.take().or((waited > Span::ZERO).then_some(waited)) else {
+                continue;
+            };
+            let takes = takes.max(if waited >= NOTE_EVERY { waited } else { Span::ZERO });
+            let slow = takes >= self.slow_from;
+            if slow || pulse.slow {
+                (pulse.noted, pulse.slow) = (Some(now), slow);
+                self.inbox.push_back(Event::SlowMessages { server, takes });
+            }
+        }
+        for id in silent {
+            self.send_away(id, Outcome::Reset, out);
+        }
+    }
+
+    fn standing(&self) -> impl Iterator<Item = (RequestId, &Out)> {
+        self.records.iter().filter_map(|(&id, record)| {
+            record.out.as_ref().filter(|open| open.established).map(|open| (id, open))
+        })
+    }
+
+    fn pace_moves(&mut self, now: Time, over: Span, ids: &[RequestId]) {
+        for (at, &id) in ids.iter().enumerate() {
+            let wait = over.scale((at + 1) as f64 / ids.len() as f64);
+            self.schedule(now + wait, Due::Move(id));
+        }
+    }
+
+    fn send_away(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<Effect>) {
+        let open = self.records.get(&id).and_then(|r| r.out.as_ref());
+        if let Some(attempt) = open.filter(|open| open.established).map(|open| open.attempt) {
+            out.push(Effect::Move { id });
+            self.end(id, attempt, outcome);
+        }
+    }
+
+    // ---- The module ---------------------------------------------------------------------------
+
+    fn run(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        self.inbox.push_back(event);
+        self.drain(now, out);
+    }
+
+    fn drain(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.told = self.told.max(now);
+        let mut actions = Vec::new();
+        while let Some(event) = self.inbox.pop_front() {
+            self.module.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, out);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Effect>) {
+        match action {
+            Action::Attempt { id, server, timeout } => {
+                let Some(record) = self.records.get_mut(&id) else { return };
+                let attempt = record.attempts;
+                record.attempts += 1;
+                // Never two attempts out, whatever was asked for.
+                if record.out.is_some() {
+                    let outcome = Outcome::Ignored;
+                    return self.inbox.push_back(Event::Ended { id, attempt, outcome, request_over: false });
+                }
+                let timeout = timeout.max(Span::ZERO);
+                let key = self.schedule(now + timeout, Due::Attempt(id, attempt));
+                let open =
+                    Out { attempt, server, sent: now, timeout: Some(key), established: false, asked: None };
+                self.records.entry(id).or_default().out = Some(open);
+                out.push(Effect::Attempt { id, attempt, server, timeout });
+            }
+            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after), out),
+            Action::Fail { id } => self.answer(id, Answer::Failed, out),
+            Action::Recall { id, attempt } => {
+                if self.out(id, attempt).is_some_and(|open| !open.established) {
+                    out.push(Effect::Close { id, attempt });
+                    self.end(id, attempt, Outcome::Cancelled);
+                }
+            }
+            Action::Move { id } => self.send_away(id, Outcome::Cancelled, out),
+            Action::SetTimer { token, at } => _ = self.schedule(at, Due::Module(token)),
+            Action::Probe { server } => out.push(Effect::Probe { server }),
+            Action::Subscribe => out.push(Effect::Subscribe),
+        }
+    }
+
+    /// Gives the final answer, once: a request that is over or served is on no record without a
+    /// standing connection, and gets none.
+    fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
+        let Some(record) = self.records.get(&id) else { return };
+        let attempt = record.out.as_ref().map(|open| (open.attempt, open.established));
+        if attempt.is_some_and(|(_, established)| established) {
+            return;
+        }
+        self.finish(id, attempt.map(|(attempt, _)| attempt), out);
+        out.push(Effect::Answer { id, answer });
+    }
+
+    /// Takes an unserved request off the record, with the attempt that may be out.
+    fn finish(&mut self, id: RequestId, attempt: Option<u32>, out: &mut Vec<Effect>) {
+        if let Some(attempt) = attempt {
+            out.push(Effect::Close { id, attempt });
+            self.end(id, attempt, Outcome::Cancelled);
+            // The request is over, so the module must not try it again on hearing of the end.
+            if let Some(Event::Ended { request_over, .. }) = self.inbox.back_mut() {
+                *request_over = true;
+            }
+        }
+        self.records.remove(&id);
+    }
+
+    /// Takes an attempt off the record and queues the module's word of it.
+    fn end(&mut self, id: RequestId, attempt: u32, outcome: Outcome) {
+        let Some(record) = self.records.get_mut(&id) else { return };
+        let Some(open) = record.out.take_if(|open| open.attempt == attempt) else { return };
+        let request_over = open.established || outcome == Outcome::Ok;
+        if request_over {
+            self.records.remove(&id);
+        }
+        self.cancel(open.timeout);
+        self.inbox.push_back(Event::Ended { id, attempt, outcome, request_over });
+    }
+
+    fn out(&mut self, id: RequestId, attempt: u32) -> Option<&mut Out> {
+        self.records.get_mut(&id)?.out.as_mut().filter(|open| open.attempt == attempt)
+    }
+
+    // ---- The wheel ----------------------------------------------------------------------------
+
+    /// Puts a thing on the wheel, at the first tick at or past its time.
+    fn schedule(&mut self, at: Time, due: Due) -> Key {
+        let wait = at.min(self.told + LONGEST).since(self.anchor.0);
+        let tick = self.tick.as_micros();
+        let ticks = (wait.as_micros() + tick - 1) / tick;
+        let wait = std::time::Duration::from_micros((ticks * tick).unsigned_abs());
+        self.wheel.insert_at(due, self.anchor.1 + wait)
+    }
+
+    fn cancel(&mut self, key: Option<Key>) {
+        if let Some(key) = key {
+            self.wheel.try_remove(&key);
+        }
+    }
+}
--- a/src/bin/reedtray-adapter/wire/facts.rs
+++ b/src/facts.rs
@@ -1,20 +1,73 @@
-//! The settings as the wire's `facts` object carries them. Unknown keys are skipped.
+//! The settings object, as the simulator's first message and the daemon's configuration carry it.
+//! Unknown keys are skipped.
+
+use std::collections::HashMap;
 
-use reedtray::{Class, Discovery, Effect, KeyedGroup, Prices, Settings, Span, Tenant, Weights, ZoneId};
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::span;
+use crate::interface::{
+    Class, Discovery, Effect, KeyedGroup, Prices, Settings, Span, Tenant, Weights, ZoneId,
+};
+
+/// Seconds as whole microseconds; what is no number counts as zero.
+pub fn span(seconds: f64) -> Span {
+    Span::from_micros((seconds * 1e6).round() as i64)
+}
+
+/// Numbers names in the order of their first appearance.
+#[derive(Default)]
+pub struct Interner {
+    numbers: HashMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Interner {
+    /// The name's number, a new one where it is new.
+    pub fn intern(&mut self, name: &str) -> u32 {
+        if let Some(&number) = self.numbers.get(name) {
+            return number;
+        }
+        let number = self.names.len() as u32;
+        self.numbers.insert(name.to_owned(), number);
+        self.names.push(name.to_owned());
+        number
+    }
+
+    /// The number of a name met before.
+    pub fn find(&self, name: &str) -> Option<u32> {
+        self.numbers.get(name).copied()
+    }
 
-/// The `facts` of a `START`.
+    /// All names, by number.
+    pub fn names(&self) -> &[String] {
+        &self.names
+    }
+}
+
+/// The names that the settings define, numbered as the module's ids.
+pub struct Names {
+    /// Zones, those of the settings first.
+    pub zones: Interner,
+    /// Kinds of machine, those of the settings first.
+    pub kinds: Interner,
+    /// Servers, in the order of their first mention.
+    pub servers: Interner,
+    /// Classes: index in [`Settings::classes`].
+    pub classes: Interner,
+    /// Tenants: index in [`Settings::tenants`].
+    pub tenants: Interner,
+}
+
+/// The settings object as it is written.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 pub struct Facts {
-    pub azs: Vec<String>,
-    pub shapes: Vec<String>,
-    pub zone: String,
-    pub classes: Vec<FactsClass>,
-    pub customers: Vec<Customer>,
+    azs: Vec<String>,
+    shapes: Vec<String>,
+    zone: String,
+    classes: Vec<FactsClass>,
+    customers: Vec<Customer>,
     balancers: u32,
     discovery: String,
     weights: String,
@@ -47,13 +100,14 @@
     }
 }
 
-/// One of `classes`.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub struct FactsClass {
-    pub name: String,
+struct FactsClass {
+    name: String,
     #[serde(default)]
     aim: f64,
+    #[serde(default)]
+    deadline: f64,
     #[serde(default = "one")]
     worth: f64,
     #[serde(default = "pure")]
@@ -72,11 +126,10 @@
     "pure".to_owned()
 }
 
-/// One of `customers`.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub struct Customer {
-    pub name: String,
+struct Customer {
+    name: String,
     #[serde(default)]
     quota_per_s: f64,
 }
@@ -96,11 +149,19 @@
     retry_after: bool,
     probes: bool,
     cancelling: bool,
+    connect_timeout: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_attempts: 1, max_retry_after: 0.0, retry_after: false, probes: false, cancelling: false }
+        Self {
+            max_attempts: 1,
+            max_retry_after: 0.0,
+            retry_after: false,
+            probes: false,
+            cancelling: false,
+            connect_timeout: 0.2,
+        }
     }
 }
 
@@ -158,13 +219,44 @@
 impl Facts {
     /// Reads the object; only keys of the wrong type are an error.
     pub fn parse(text: &str) -> serde_json::Result<Self> {
-        let mut value: Value = serde_json::from_str(text)?;
+        Self::read(serde_json::from_str(text)?)
+    }
+
+    /// Reads an object that has been parsed as JSON.
+    pub fn read(mut value: Value) -> serde_json::Result<Self> {
         drop_nulls(&mut value);
         serde_json::from_value(value)
     }
 
-    /// The module's settings, for a relay in `zone`.
-    pub fn settings(&self, zone: ZoneId) -> Result<Settings, String> {
+    /// The names that the settings define.
+    pub fn names(&self) -> Names {
+        let numbered = |names: &mut dyn Iterator<Item = &String>| {
+            let mut interner = Interner::default();
+            names.for_each(|name| _ = interner.intern(name));
+            interner
+        };
+        Names {
+            zones: numbered(&mut self.azs.iter().chain([&self.zone])),
+            kinds: numbered(&mut self.shapes.iter()),
+            servers: Interner::default(),
+            classes: numbered(&mut self.classes.iter().map(|c| &c.name)),
+            tenants: numbered(&mut self.customers.iter().map(|c| &c.name)),
+        }
+    }
+
+    /// A connection that is not up by then could not be made.
+    pub fn connect_timeout(&self) -> Span {
+        span(self.limits.connect_timeout)
+    }
+
+    /// The longest deadline of any class.
+    pub fn longest_deadline(&self) -> Span {
+        span(self.classes.iter().map(|c| c.deadline).fold(0.0, f64::max))
+    }
+
+    /// The module's settings, for a relay whose zone `names` holds.
+    pub fn settings(&self, names: &Names) -> Result<Settings, String> {
+        let zone = ZoneId(names.zones.find(&self.zone).unwrap_or_default());
         let info = &self.family_info;
         let secs = |list: &[f64], i: usize| list.get(i).copied().unwrap_or(0.0);
         let classes = self.classes.iter().enumerate().map(|(i, class)| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,7 @@
 //! # Embedding
 //!
 //! ```
-//! use reedtray::*;
+//! use ashtide::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class {
@@ -47,5 +47,12 @@
 mod brain;
 mod interface;
 
+pub mod config;
+pub mod discovery;
+pub mod engine;
+pub mod facts;
+pub mod lines;
+pub mod net;
+
 pub use brain::Balancer;
 pub use interface::*;
--- /dev/null
+++ b/src/net/core.rs
@@ -0,0 +1,351 @@
+//! The task that owns the engine: fronts report to it, and it sends them commands.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::config::Config;
+use crate::discovery::News;
+use crate::engine::{Answer, Effect, Engine};
+use crate::facts::Names;
+use crate::interface::*;
+
+/// Reports that may wait for the core before fronts have to.
+const QUEUE: usize = 1024;
+/// Commands that may wait for one session: more than all attempts of a request need.
+pub const COMMANDS: usize = 32;
+/// Servers whose names are remembered; further new ones are passed over.
+const MAX_SERVERS: usize = 4096;
+/// Of the time between SIGTERM and SIGKILL, the last part is kept free for closing.
+const LAST_MARGIN: Duration = Duration::from_millis(400);
+/// Clients keep coming for a while after SIGTERM: no exit before.
+const STAY: Duration = Duration::from_millis(900);
+/// A final answer that waits for its client to read it, at most.
+const FLUSH: Duration = Duration::from_millis(150);
+
+/// What a client asks for, in the words of its front.
+#[derive(Debug, Clone, Default)]
+pub struct Ask {
+    /// The class's name.
+    pub class: String,
+    /// The tenant's name.
+    pub tenant: Option<String>,
+    /// The group's name.
+    pub group: Option<String>,
+    /// How long the client waits.
+    pub wait: Span,
+    /// Expected load.
+    pub load: Option<f64>,
+}
+
+/// What the core asks of a front.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    /// Make an attempt.
+    Attempt {
+        /// Its number.
+        attempt: u32,
+        /// Where.
+        address: SocketAddr,
+        /// How long the core will wait.
+        timeout: Span,
+    },
+    /// Give the attempt up.
+    Close {
+        /// Its number.
+        attempt: u32,
+    },
+    /// Give the final answer.
+    Answer(Answer),
+    /// Send the client of the standing connection away.
+    Move,
+}
+
+/// Where a front takes its commands.
+pub type Port = mpsc::Sender<(RequestId, Command)>;
+
+/// What fronts and drivers tell the core.
+#[derive(Debug)]
+pub enum Report {
+    /// A client asks for a connection.
+    Request(RequestId, Ask, Port),
+    /// A connection that stood on the named server before.
+    Existing(RequestId, Ask, String, Port),
+    /// An attempt's connection stands.
+    Up(RequestId, u32),
+    /// An attempt or connection has ended.
+    Ended(RequestId, u32, Outcome),
+    /// The client has gone.
+    Left(RequestId),
+    /// A message was passed to the server.
+    Asked(RequestId),
+    /// The server sent something.
+    Answered(RequestId),
+    /// The connection's load now, in seconds of work a second.
+    Load(RequestId, f64),
+    /// News of the list.
+    News(News),
+    /// The watch has ended.
+    WatchEnded,
+    /// A probe is back.
+    Probed(ServerId, bool),
+    /// Leave within this time.
+    Leave(Duration),
+}
+
+/// What a front holds of the core.
+#[derive(Clone)]
+pub struct Handle {
+    reports: mpsc::Sender<Report>,
+    ids: Arc<AtomicU32>,
+}
+
+impl Handle {
+    /// A new request's id.
+    pub fn next_id(&self) -> RequestId {
+        RequestId(self.ids.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Tells the core; waits while it has much to do.
+    pub async fn tell(&self, report: Report) {
+        // The core only ends with the process.
+        let _ = self.reports.send(report).await;
+    }
+}
+
+/// The core's driver.
+pub struct Core {
+    engine: Engine,
+    names: Names,
+    addresses: HashMap<ServerId, SocketAddr>,
+    ports: BTreeMap<RequestId, Port>,
+    anchor: (Time, Instant),
+    reports: mpsc::Receiver<Report>,
+    handle: Handle,
+    subscribe: mpsc::Sender<()>,
+    connect_timeout: Duration,
+    effects: Vec<Effect>,
+    /// No exit before the first; exit at the second whatever is left.
+    leaving: Option<(Instant, Instant)>,
+}
+
+/// The group's number: equality is all that counts, and a table of names would grow for ever.
+fn group(name: &str) -> GroupId {
+    let mut hash = 0x811c_9dc5_u32;
+    for byte in name.bytes() {
+        hash = (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+    }
+    GroupId(hash)
+}
+
+/// A span as the runtime counts it.
+pub fn duration(span: Span) -> Duration {
+    Duration::from_micros(u64::try_from(span.as_micros()).unwrap_or_default())
+}
+
+fn span(duration: Duration) -> Span {
+    Span::from_micros(i64::try_from(duration.as_micros()).unwrap_or(i64::MAX))
+}
+
+impl Core {
+    /// A core for this configuration; `subscribe` asks the list's driver to watch.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the settings cannot be used.
+    pub fn new(config: &Config, subscribe: mpsc::Sender<()>) -> Result<(Self, Handle), String> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let anchor = (Time::default() + span(unix), Instant::now());
+        let names = config.facts.names();
+        let settings = config.facts.settings(&names)?;
+        let (sender, reports) = mpsc::channel(QUEUE);
+        let handle = Handle { reports: sender, ids: Arc::new(AtomicU32::new(1)) };
+        let core = Self {
+            engine: Engine::new(settings, config.seed, anchor),
+            names,
+            addresses: HashMap::new(),
+            ports: BTreeMap::new(),
+            anchor,
+            reports,
+            handle: handle.clone(),
+            subscribe,
+            connect_timeout: duration(config.facts.connect_timeout()),
+            effects: Vec::new(),
+            leaving: None,
+        };
+        Ok((core, handle))
+    }
+
+    /// Serves until the process is to end.
+    pub async fn run(mut self, known: Option<News>) {
+        let known = known.unwrap_or(News { index: 0, snapshot: true, endpoints: Vec::new() });
+        self.news(known, ListNews::Stale);
+        loop {
+            self.carry_out();
+            let end = match self.leaving {
+                Some((earliest, _)) if self.ports.is_empty() => Some(earliest),
+                Some((_, latest)) => Some(latest),
+                None => None,
+            };
+            tokio::select! {
+                report = self.reports.recv() => match report {
+                    Some(report) => self.report(report),
+                    None => return,
+                },
+                due = self.engine.due() => {
+                    let now = self.now();
+                    self.engine.fire(now, due, &mut self.effects);
+                }
+                () = tokio::time::sleep_until(end.unwrap_or_else(Instant::now)), if end.is_some() => {
+                    // What has just been answered still has to reach its clients.
+                    tokio::time::sleep(FLUSH).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    fn now(&self) -> Time {
+        self.anchor.0 + span(self.anchor.1.elapsed())
+    }
+
+    fn report(&mut self, report: Report) {
+        let (now, out) = (self.now(), &mut self.effects);
+        match report {
+            Report::Request(id, ask, port) => {
+                self.ports.insert(id, port);
+                match self.request(id, &ask) {
+                    Some(request) => self.engine.request(now, request, &mut self.effects),
+                    None => self.effects.push(Effect::Answer { id, answer: Answer::Failed }),
+                }
+            }
+            Report::Existing(id, ask, server, port) => {
+                self.ports.insert(id, port);
+                let server = self.names.servers.find(&server).map(ServerId);
+                match (self.request(id, &ask), server) {
+                    (Some(request), Some(server)) => {
+                        let timeout = request.time_left;
+                        self.engine.existing(now, request, server, &mut self.effects);
+                        self.effects.push(Effect::Attempt { id, attempt: 0, server, timeout });
+                    }
+                    _ => self.effects.push(Effect::Answer { id, answer: Answer::Failed }),
+                }
+            }
+            Report::Up(id, attempt) => self.engine.established(now, id, attempt, out),
+            Report::Ended(id, attempt, outcome) => {
+                self.engine.ended(now, id, attempt, outcome, out);
+                if !self.engine.holds(id) {
+                    self.forget_unless_answered(id);
+                }
+            }
+            Report::Left(id) => {
+                self.engine.client_left(now, id, out);
+                self.ports.remove(&id);
+            }
+            Report::Asked(id) => self.engine.asked(now, id),
+            Report::Answered(id) => self.engine.answered(now, id),
+            Report::Load(id, load) => self.engine.load(now, id, load, out),
+            Report::News(news) => {
+                let kind = if news.snapshot { ListNews::Whole } else { ListNews::Changes };
+                self.news(news, kind);
+            }
+            Report::WatchEnded => self.engine.list(now, ListNews::Broken, Vec::new(), out),
+            Report::Probed(server, ok) => self.engine.probed(now, server, ok, out),
+            Report::Leave(grace) => {
+                let last = grace.saturating_sub(LAST_MARGIN);
+                let over = last.saturating_sub(LAST_MARGIN);
+                self.engine.leave(now, span(over), span(last));
+                let start = Instant::now();
+                self.leaving = Some((start + STAY.min(last), start + last + FLUSH));
+            }
+        }
+    }
+
+    /// A connection that has ended has no use for commands; a request that was just answered does.
+    fn forget_unless_answered(&mut self, id: RequestId) {
+        let answered = |effect: &Effect| matches!(effect, Effect::Answer { id: it, .. } if *it == id);
+        if !self.effects.iter().any(answered) {
+            self.ports.remove(&id);
+        }
+    }
+
+    fn request(&mut self, id: RequestId, ask: &Ask) -> Option<Request> {
+        Some(Request {
+            id,
+            class: ClassId(self.names.classes.find(&ask.class)?),
+            tenant: ask.tenant.as_deref().and_then(|t| self.names.tenants.find(t)).map(TenantId),
+            group: ask.group.as_deref().map(group),
+            time_left: ask.wait,
+            load: ask.load,
+        })
+    }
+
+    fn news(&mut self, news: News, kind: ListNews) {
+        let mut entries = Vec::with_capacity(news.endpoints.len());
+        for entry in news.endpoints {
+            let servers = &mut self.names.servers;
+            if servers.find(&entry.name).is_none() && servers.names().len() >= MAX_SERVERS {
+                eprintln!("list: too many servers, '{}' is passed over", entry.name);
+                continue;
+            }
+            let server = ServerId(servers.intern(&entry.name));
+            self.addresses.insert(server, entry.address);
+            entries.push(Listing {
+                server,
+                zone: ZoneId(self.names.zones.intern(&entry.zone)),
+                kind: KindId(self.names.kinds.intern(&entry.kind)),
+                cell: CellId(entry.group),
+                state: entry.status.into(),
+                size: entry.weight,
+                started: (entry.since_ms > 0.0).then(|| Time::from_micros((entry.since_ms * 1e3) as i64)),
+            });
+        }
+        let now = self.now();
+        self.engine.list(now, kind, entries, &mut self.effects);
+    }
+
+    fn carry_out(&mut self) {
+        for effect in std::mem::take(&mut self.effects) {
+            match effect {
+                Effect::Attempt { id, attempt, server, timeout } => {
+                    let address = self.addresses[&server];
+                    self.command(id, Command::Attempt { attempt, address, timeout });
+                }
+                Effect::Close { id, attempt } => self.command(id, Command::Close { attempt }),
+                Effect::Answer { id, answer } => {
+                    self.command(id, Command::Answer(answer));
+                    self.ports.remove(&id);
+                }
+                Effect::Move { id } => {
+                    self.command(id, Command::Move);
+                    self.ports.remove(&id);
+                }
+                Effect::Probe { server } => {
+                    let probe = super::probe::run(self.addresses[&server], self.connect_timeout);
+                    let handle = self.handle.clone();
+                    tokio::spawn(async move {
+                        let ok = probe.await;
+                        handle.tell(Report::Probed(server, ok)).await;
+                    });
+                }
+                // A full queue means that the driver has been asked already.
+                Effect::Subscribe => _ = self.subscribe.try_send(()),
+            }
+        }
+    }
+
+    fn command(&mut self, id: RequestId, command: Command) {
+        let Some(port) = self.ports.get(&id) else { return };
+        if let Err(error) = port.try_send((id, command)) {
+            // A closed port is a session that has just ended; its report is on the way.
+            if matches!(error, mpsc::error::TrySendError::Full(_)) {
+                eprintln!("core: request {} takes no commands", id.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,7 @@
+//! Drivers: what reads and writes sockets, one file a concern. They decide nothing.
+
+pub mod core;
+pub mod discovery;
+pub mod listen;
+pub mod probe;
+pub mod session;
--- /dev/null
+++ b/src/net/probe.rs
@@ -0,0 +1,22 @@
+//! Probes: one `PING` on a connection of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
+
+use crate::lines::{LineCodec, PONG};
+
+/// Probes once; whether the server answered properly within `limit`.
+pub async fn run(address: SocketAddr, limit: Duration) -> bool {
+    let probe = async {
+        let (read, mut write) = TcpStream::connect(address).await.ok()?.into_split();
+        write.write_all(b"PING\r\n").await.ok()?;
+        FramedRead::new(read, LineCodec::default()).next().await?.ok()
+    };
+    matches!(timeout(limit, probe).await, Ok(Some(line)) if line == PONG)
+}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -12,7 +12,7 @@
 );
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_reedtray-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_ashtide-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -93,7 +93,7 @@
         let output = adapter(&input);
         let message = String::from_utf8_lossy(&output.stderr).into_owned();
         assert!(!output.status.success(), "accepted: {input}");
-        assert!(message.starts_with("reedtray-adapter: "), "{message}");
+        assert!(message.starts_with("ashtide-adapter: "), "{message}");
         assert!(!message.contains("panicked"), "{message}");
     }
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use ashtide::*;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use reedtray::*;
 
 const STEP: i64 = 5_000;
 const SLACK: i64 = 20_000;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,6 @@
 //! The module driven by hand-written events, one scenario a rule or guard.
 
-use reedtray::*;
+use ashtide::*;
 
 const SECOND: i64 = 1_000_000;
 
