Add the QUIC front and VRRP state machine behind a deploy file

Initials are requests with the file's deadline; servers' ids lead to their connection whatever the address; an unknown id gets one stateless reset.

--- a/src/config.rs
+++ b/src/config.rs
@@ -3,8 +3,8 @@
 //! A balancer is told of itself by the environment and by the JSON file that it names. Every error
 //! names the key at fault.
 
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -12,6 +12,9 @@
 
 use crate::discovery::News;
 use crate::facts::Facts;
+use crate::quic::header::MAX_ID;
+use crate::quic::placing::MIN_ID;
+use crate::vrrp;
 
 /// What is wrong with the configuration.
 #[derive(Debug, thiserror::Error)]
@@ -63,9 +66,9 @@
 }
 
 impl Limits {
-    /// How many clients may be held at once: two sockets each, within the memory.
-    pub fn sessions(&self) -> usize {
-        let by_sockets = self.sockets.saturating_sub(KEPT_SOCKETS) / 2;
+    /// How many clients may be held at once beside `others` sockets: two sockets each, within the memory.
+    pub fn sessions(&self, others: usize) -> usize {
+        let by_sockets = self.sockets.saturating_sub(KEPT_SOCKETS + others) / 2;
         by_sockets.min((self.memory_mb << 20) / 2 / BYTES_A_SESSION).max(1)
     }
 }
@@ -154,3 +157,152 @@
         Ok(Self { name, listen, discovery, seed, limits, known, facts, grace })
     }
 }
+
+/// The QUIC front, as a deploy file has it.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct QuicFront {
+    /// Where clients come.
+    pub listen: SocketAddr,
+    /// The class of its connections, as the settings name it.
+    pub class: String,
+    /// Their tenant.
+    pub tenant: Option<String>,
+    /// How long an Initial may wait for its server.
+    pub deadline_ms: u32,
+    /// Bytes of the ids that servers issue.
+    #[serde(default = "id_length")]
+    pub id_length: usize,
+    /// The configuration's number in those ids.
+    #[serde(default)]
+    pub rotation: u8,
+    /// The site's shared key for reset tokens, in hex. Without it the key is random: clients cannot
+    /// tell resets by it, and learn only from their own time-outs.
+    pub reset_key: Option<String>,
+    /// Sockets towards servers, one for each address that a connection is seen under.
+    #[serde(default = "paths")]
+    pub paths: usize,
+    /// A connection over which nothing has come for so long is over.
+    #[serde(default = "idle_ms")]
+    pub idle_ms: u32,
+}
+
+fn id_length() -> usize {
+    12
+}
+
+fn paths() -> usize {
+    256
+}
+
+fn idle_ms() -> u32 {
+    30_000
+}
+
+fn hex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.len().is_multiple_of(2) && text.is_ascii();
+    let byte = |at| u8::from_str_radix(&text[at..at + 2], 16).ok();
+    digits.then(|| (0..text.len()).step_by(2).map(byte).collect()).flatten()
+}
+
+impl QuicFront {
+    /// The shared key's bytes, where one is given.
+    pub fn key(&self) -> Option<Vec<u8>> {
+        self.reset_key.as_deref().and_then(hex)
+    }
+}
+
+/// The virtual router that gates the QUIC front, as a deploy file has it.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VrrpFront {
+    /// Its number.
+    pub router: u8,
+    /// Its priority; the address's owner has 255.
+    pub priority: u8,
+    /// Milliseconds between advertisements, a multiple of 10.
+    #[serde(default = "interval_ms")]
+    pub interval_ms: u32,
+    /// Whether it takes over from an active router of lower priority.
+    #[serde(default = "preempt")]
+    pub preempt: bool,
+    /// Where advertisements come.
+    pub listen: SocketAddr,
+    /// The other routers of the same number.
+    pub peers: Vec<SocketAddr>,
+    /// The virtual addresses.
+    #[serde(default)]
+    pub addresses: Vec<Ipv4Addr>,
+}
+
+fn interval_ms() -> u32 {
+    1000
+}
+
+fn preempt() -> bool {
+    true
+}
+
+impl VrrpFront {
+    /// What the state machine is told.
+    pub fn settings(&self) -> vrrp::Settings {
+        vrrp::Settings {
+            router: self.router,
+            priority: self.priority,
+            interval: u16::try_from(self.interval_ms / 10).unwrap_or(u16::MAX),
+            preempt: self.preempt,
+            addresses: self.addresses.clone(),
+        }
+    }
+}
+
+/// A deploy file for what the platform does not have: the QUIC front, and the router that gates it.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fronts {
+    /// The QUIC front.
+    pub quic: Option<QuicFront>,
+    /// Its virtual router.
+    pub vrrp: Option<VrrpFront>,
+}
+
+impl Fronts {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Says which key is at fault.
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let file = |problem: String| ConfigError::File { path: path.to_owned(), problem };
+        let text = std::fs::read_to_string(path).map_err(|e| file(e.to_string()))?;
+        Self::parse(&text).map_err(|e| file(e.to_string()))
+    }
+
+    /// Checks a file's text.
+    ///
+    /// # Errors
+    ///
+    /// Says which key is at fault.
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let fronts: Self = toml::from_str(text).map_err(|e| bad("deploy file", e))?;
+        let check = |good: bool, key: &str, problem: &str| if good { Ok(()) } else { Err(bad(key, problem)) };
+        if let Some(quic) = &fronts.quic {
+            check(quic.deadline_ms > 0, "quic.deadline_ms", "must be over 0")?;
+            check((MIN_ID..=MAX_ID).contains(&quic.id_length), "quic.id_length", "must be 9 to 20")?;
+            check(quic.rotation < 7, "quic.rotation", "must be 0 to 6")?;
+            check(quic.paths > 0, "quic.paths", "must be over 0")?;
+            check(quic.idle_ms >= 1000, "quic.idle_ms", "must be 1000 or more")?;
+            let key = quic.reset_key.is_none() || quic.key().is_some_and(|key| key.len() >= 16);
+            check(key, "quic.reset_key", "must be 32 or more hex digits")?;
+        }
+        if let Some(vrrp) = &fronts.vrrp {
+            check(fronts.quic.is_some(), "vrrp", "there is no [quic] that it could gate")?;
+            check(vrrp.router > 0, "vrrp.router", "must be 1 to 255")?;
+            check(vrrp.priority > 0, "vrrp.priority", "must be 1 to 255")?;
+            let ticks = vrrp.interval_ms.is_multiple_of(10) && (10..=40_950).contains(&vrrp.interval_ms);
+            check(ticks, "vrrp.interval_ms", "must be a multiple of 10 up to 40950")?;
+            check(vrrp.addresses.len() <= 16, "vrrp.addresses", "must be 16 at most")?;
+        }
+        Ok(fronts)
+    }
+}
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -24,6 +24,8 @@
 const NOTE_EVERY: Span = Span::from_micros(1_000_000);
 /// Messages are slow from this part of the shortest message aim on.
 const SLOW_PART: f64 = 1.0 / 3.0;
+/// Connections of a server that drains are moved within this time, unless it sends them away itself.
+const DRAINED_OVER: Span = Span::from_micros(8_000_000);
 /// Connections of a server that is gone from the list are moved within this time.
 const GONE_OVER: Span = Span::from_micros(1_000_000);
 /// Longest wait that the wheel is asked for.
@@ -187,6 +189,8 @@
 
     /// News of the server list.
     pub fn list(&mut self, now: Time, news: ListNews, entries: Vec<Listing>, out: &mut Vec<Effect>) {
+        let before: BTreeMap<ServerId, ServerState> =
+            self.pulses.iter().map(|(&server, pulse)| (server, pulse.state)).collect();
         if matches!(news, ListNews::Whole | ListNews::Stale) {
             self.pulses.values_mut().for_each(|pulse| pulse.state = ServerState::Gone);
         }
@@ -194,13 +198,16 @@
             self.pulses.entry(entry.server).or_default().state = entry.state;
         }
         self.run(now, Event::List { news, entries }, out);
-        // What is still on a server that has been taken off the list would be cut off without a word.
-        let left: Vec<RequestId> = self
-            .standing()
-            .filter(|(_, out)| self.pulses.get(&out.server).is_some_and(|p| p.state == ServerState::Gone))
-            .map(|(id, _)| id)
-            .collect();
-        self.pace_moves(now, GONE_OVER, &left);
+        // What is still on a server when it stops would be cut off without a word.
+        for (state, over) in [(ServerState::Draining, DRAINED_OVER), (ServerState::Gone, GONE_OVER)] {
+            let newly = |server: &ServerId| {
+                let is = self.pulses.get(server).is_some_and(|pulse| pulse.state == state);
+                is && before.get(server) != Some(&state)
+            };
+            let left: Vec<RequestId> =
+                self.standing().filter(|(_, open)| newly(&open.server)).map(|(id, _)| id).collect();
+            self.pace_moves(now, over, &left);
+        }
     }
 
     /// A client asks for a connection.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,8 @@
 pub mod facts;
 pub mod lines;
 pub mod net;
+pub mod quic;
+pub mod vrrp;
 
 pub use brain::Balancer;
 pub use interface::*;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,11 +2,11 @@
 
 use std::process::ExitCode;
 
-use ashtide::config::Config;
+use ashtide::config::{Config, Fronts};
 use ashtide::net::core::{Core, Report, duration};
-use ashtide::net::{discovery, listen, session};
+use ashtide::net::{discovery, listen, quic, session, vrrp};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 fn main() -> ExitCode {
     match start() {
@@ -21,25 +21,57 @@
 fn start() -> Result<(), Box<dyn std::error::Error>> {
     let config = Config::read(|name| std::env::var(name).ok())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(run(config))
+    runtime.block_on(run(config, fronts()?))
 }
 
-async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
+/// The deploy file of `--fronts FILE`, if one is named. The platform names none.
+fn fronts() -> Result<Fronts, Box<dyn std::error::Error>> {
+    let mut arguments = std::env::args_os().skip(1);
+    match (arguments.next(), arguments.next(), arguments.next()) {
+        (None, ..) => Ok(Fronts::default()),
+        (Some(option), Some(file), None) if option == "--fronts" => Ok(Fronts::read(file.as_ref())?),
+        _ => Err("usage: ashtide [--fronts FILE]".into()),
+    }
+}
+
+async fn run(config: Config, fronts: Fronts) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     // One call asked for while another runs: the queue's one place says so.
     let (subscribe, subscriptions) = mpsc::channel(1);
     let (core, handle) = Core::new(&config, subscribe)?;
     let listener = listen::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
-    let sessions = config.limits.sessions();
-    eprintln!("ashtide: {} listens on {}, at most {sessions} clients", config.name, config.listen);
+    let sessions = config.limits.sessions(fronts.quic.as_ref().map_or(0, |quic| quic.paths));
+    let listen = listener.local_addr()?;
+    eprintln!("ashtide: {} listens on {listen}, at most {sessions} clients", config.name);
     let after = config.known.as_ref().map_or(0, |known| known.index);
     tokio::spawn(discovery::follow(config.discovery, after, subscriptions, handle.clone()));
     let times = session::Times { connect: duration(config.facts.connect_timeout()) };
     tokio::spawn(listen::serve(listener, sessions, times, handle.clone()));
+    let (stop, stopping) = watch::channel(false);
+    if let Some(front) = fronts.quic {
+        if config.facts.names().classes.find(&front.class).is_none() {
+            return Err(format!("quic.class: '{}' is no class of the settings", front.class).into());
+        }
+        let (gate, open) = watch::channel(fronts.vrrp.is_none());
+        let listen = front.listen;
+        let front = quic::Front::bind(front, config.seed, handle.clone(), core.fleet(), open)
+            .await
+            .map_err(|e| format!("quic.listen {listen}: {e}"))?;
+        eprintln!("quic: listens on {}", front.address()?);
+        tokio::spawn(front.run());
+        if let Some(router) = fronts.vrrp {
+            tokio::spawn(async move {
+                if let Err(error) = vrrp::run(router, gate, stopping).await {
+                    eprintln!("vrrp: {error}; this copy takes no new connections");
+                }
+            });
+        }
+    }
     let grace = config.grace;
     tokio::spawn(async move {
         if terminate.recv().await.is_some() {
             eprintln!("ashtide: asked to stop, leaving within {} ms", grace.as_millis());
+            stop.send_replace(true);
             handle.tell(Report::Leave(grace)).await;
         }
     });
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -6,11 +6,11 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use crate::config::Config;
-use crate::discovery::News;
+use crate::discovery::{News, Status};
 use crate::engine::{Answer, Effect, Engine};
 use crate::facts::Names;
 use crate::interface::*;
@@ -128,6 +128,9 @@
     reports: mpsc::Receiver<Report>,
     handle: Handle,
     subscribe: mpsc::Sender<()>,
+    /// The servers that the list has, with their addresses, and who wants to know.
+    listed: BTreeMap<String, SocketAddr>,
+    fleet: watch::Sender<BTreeMap<String, SocketAddr>>,
     connect_timeout: Duration,
     effects: Vec<Effect>,
     /// No exit before the first; exit at the second whatever is left.
@@ -174,6 +177,8 @@
             reports,
             handle: handle.clone(),
             subscribe,
+            listed: BTreeMap::new(),
+            fleet: watch::Sender::new(BTreeMap::new()),
             connect_timeout: duration(config.facts.connect_timeout()),
             effects: Vec::new(),
             leaving: None,
@@ -181,6 +186,11 @@
         Ok((core, handle))
     }
 
+    /// The servers on the list and their addresses, as they change.
+    pub fn fleet(&self) -> watch::Receiver<BTreeMap<String, SocketAddr>> {
+        self.fleet.subscribe()
+    }
+
     /// Serves until the process is to end.
     pub async fn run(mut self, known: Option<News>) {
         let known = known.unwrap_or(News { index: 0, snapshot: true, endpoints: Vec::new() });
@@ -287,6 +297,9 @@
 
     fn news(&mut self, news: News, kind: ListNews) {
         let mut entries = Vec::with_capacity(news.endpoints.len());
+        if kind != ListNews::Changes {
+            self.listed.clear();
+        }
         for entry in news.endpoints {
             let servers = &mut self.names.servers;
             if servers.find(&entry.name).is_none() && servers.names().len() >= MAX_SERVERS {
@@ -294,6 +307,10 @@
                 continue;
             }
             let server = ServerId(servers.intern(&entry.name));
+            match entry.status {
+                Status::Deleted => _ = self.listed.remove(&entry.name),
+                _ => _ = self.listed.insert(entry.name.clone(), entry.address),
+            }
             self.addresses.insert(server, entry.address);
             entries.push(Listing {
                 server,
@@ -305,6 +322,13 @@
                 started: (entry.since_ms > 0.0).then(|| Time::from_micros((entry.since_ms * 1e3) as i64)),
             });
         }
+        self.fleet.send_if_modified(|fleet| {
+            let changed = *fleet != self.listed;
+            if changed {
+                fleet.clone_from(&self.listed);
+            }
+            changed
+        });
         let now = self.now();
         self.engine.list(now, kind, entries, &mut self.effects);
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,4 +4,6 @@
 pub mod discovery;
 pub mod listen;
 pub mod probe;
+pub mod quic;
 pub mod session;
+pub mod vrrp;
--- /dev/null
+++ b/src/net/vrrp.rs
@@ -0,0 +1,75 @@
+//! Runs a virtual router over UDP; the QUIC front takes new connections only while it is active.
+
+use std::net::SocketAddr;
+
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+use crate::config::VrrpFront;
+use crate::vrrp::{Advertisement, Effect, Machine, State};
+
+/// Longer packets are none of ours.
+const MAX_PACKET: usize = 128;
+
+/// Runs until `stop` turns true; `active` tells whether this copy is the active one.
+///
+/// # Errors
+///
+/// Fails where the address cannot be bound.
+pub async fn run(
+    front: VrrpFront,
+    active: watch::Sender<bool>,
+    mut stop: watch::Receiver<bool>,
+) -> std::io::Result<()> {
+    let socket = UdpSocket::bind(front.listen).await?;
+    let own = socket.local_addr()?;
+    let mut machine = Machine::new(front.settings());
+    let mut effects = Vec::new();
+    machine.start(&mut effects);
+    let (mut wake, mut dropped) = (None, 0_u64);
+    let mut packet = [0; MAX_PACKET];
+    loop {
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Send(advertisement) => send(&socket, &front.peers, &advertisement).await,
+                Effect::Enter(state) => {
+                    eprintln!("vrrp: router {} is {state:?}", front.router);
+                    active.send_replace(state == State::Active);
+                }
+                Effect::Timer(wait) => wake = Some(Instant::now() + wait),
+                Effect::NoTimer => wake = None,
+            }
+        }
+        if machine.state() == State::Initialize {
+            return Ok(());
+        }
+        tokio::select! {
+            heard = socket.recv_from(&mut packet) => {
+                // A peer that is not there shows as an error of the socket; it is no concern of ours.
+                let Ok((length, from)) = heard else { continue };
+                // Only the routers of the deploy file count: anyone can send to a UDP port.
+                let known = front.peers.contains(&from);
+                match Advertisement::decode(&packet[..length]) {
+                    Ok(heard) if known => machine.heard(&heard, from > own, &mut effects),
+                    Ok(_) | Err(_) => {
+                        dropped += 1;
+                        eprintln!("vrrp: packet of {from} dropped, {dropped} so far");
+                    }
+                }
+            }
+            () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => {
+                wake = None;
+                machine.timer(&mut effects);
+            }
+            _ = stop.wait_for(|&stop| stop) => machine.stop(&mut effects),
+        }
+    }
+}
+
+async fn send(socket: &UdpSocket, peers: &[SocketAddr], advertisement: &Advertisement) {
+    let packet = advertisement.encode();
+    for peer in peers {
+        let _ = socket.send_to(&packet, peer).await;
+    }
+}
--- /dev/null
+++ b/src/quic/initial.rs
@@ -0,0 +1,228 @@
+//! Initial packets of RFC 9001: their keys follow from the client's first id, so a gateway can read
+//! a server's refusal in one and speak its own.
+
+use aes_gcm::aead::{AeadInPlace, KeyInit};
+use aes_gcm::aes::Aes128;
+use aes_gcm::aes::cipher::{BlockEncrypt, generic_array::GenericArray};
+use aes_gcm::{Aes128Gcm, Nonce, Tag};
+use bytes::{Buf, BufMut};
+use hkdf::Hkdf;
+use sha2::Sha256;
+
+use super::header::{ConnectionId, VERSION_1, put_long, put_varint2, take_id, take_varint};
+
+/// The salt of version 1 (RFC 9001, section 5.2).
+const SALT: [u8; 20] = [
+    0x38, 0x76, 0x2c, 0xf7, 0xf5, 0x59, 0x34, 0xb3, 0x4d, 0x17, 0x9a, 0xe6, 0xa4, 0xc8, 0x0c, 0xad, 0xcc,
+    0xbb, 0x7f, 0x0a,
+];
+const TAG: usize = 16;
+/// Frames that may stand before the one looked for in a server's Initial.
+const MAX_FRAMES: usize = 64;
+
+/// The error code of a server that turns a connection away.
+pub const CONNECTION_REFUSED: u64 = 0x02;
+/// The error code of a failure that promises nothing.
+pub const INTERNAL_ERROR: u64 = 0x01;
+
+/// Which end protects a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// The client.
+    Client,
+    /// The server.
+    Server,
+}
+
+/// The keys of one side's Initial packets.
+struct Keys {
+    seal: Aes128Gcm,
+    iv: [u8; 12],
+    mask: Aes128,
+}
+
+fn expand<const N: usize>(secret: &Hkdf<Sha256>, label: &str) -> [u8; N] {
+    let mut info = Vec::with_capacity(10 + label.len());
+    info.put_u16(N as u16);
+    info.put_u8((6 + label.len()) as u8);
+    info.put_slice(b"tls13 ");
+    info.put_slice(label.as_bytes());
+    info.put_u8(0);
+    let mut out = [0; N];
+    secret.expand(&info, &mut out).expect("lengths of keys are within HKDF's bounds");
+    out
+}
+
+impl Keys {
+    fn derive(first_id: &[u8], side: Side) -> Self {
+        let initial = Hkdf::<Sha256>::new(Some(&SALT), first_id);
+        let label = match side {
+            Side::Client => "client in",
+            Side::Server => "server in",
+        };
+        let secret: [u8; 32] = expand(&initial, label);
+        let secret = Hkdf::<Sha256>::from_prk(&secret).expect("a hash is long enough");
+        let (key, iv, mask): ([u8; 16], _, [u8; 16]) =
+            (expand(&secret, "quic key"), expand(&secret, "quic iv"), expand(&secret, "quic hp"));
+        Self { seal: Aes128Gcm::new(&key.into()), iv, mask: Aes128::new(&mask.into()) }
+    }
+
+    fn nonce(&self, number: u32) -> Nonce<aes_gcm::aead::consts::U12> {
+        let mut nonce = self.iv;
+        for (byte, number) in nonce[8..].iter_mut().zip(number.to_be_bytes()) {
+            *byte ^= number;
+        }
+        nonce.into()
+    }
+
+    fn mask(&self, sample: &[u8]) -> [u8; 5] {
+        let mut block = GenericArray::clone_from_slice(sample);
+        self.mask.encrypt_block(&mut block);
+        [block[0], block[1], block[2], block[3], block[4]]
+    }
+}
+
+/// An Initial packet, opened.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Opened {
+    /// Whom it is for.
+    pub to: ConnectionId,
+    /// Whom it is from.
+    pub from: ConnectionId,
+    /// Its frames.
+    pub frames: Vec<u8>,
+}
+
+/// Opens the Initial at the head of a datagram; `None` if it is none or its seal is not good.
+pub fn open(datagram: &[u8], first_id: &[u8], side: Side) -> Option<Opened> {
+    let mut rest = datagram;
+    let first = rest.try_get_u8().ok()?;
+    if first & 0xf0 != 0xc0 || rest.try_get_u32().ok()? != VERSION_1 {
+        return None;
+    }
+    let (to, from) = (take_id(&mut rest).ok()?, take_id(&mut rest).ok()?);
+    let token = usize::try_from(take_varint(&mut rest)?).ok()?;
+    rest = rest.get(token..)?;
+    let length = usize::try_from(take_varint(&mut rest)?).ok()?;
+    let at = datagram.len() - rest.len();
+    let packet = datagram.get(..at.checked_add(length)?)?;
+    let keys = Keys::derive(first_id, side);
+    let mask = keys.mask(packet.get(at + 4..at + 20)?);
+    let mut packet = packet.to_vec();
+    packet[0] ^= mask[0] & 0x0f;
+    let digits = usize::from(packet[0] & 3) + 1;
+    let mut number = 0;
+    for (byte, mask) in packet[at..at + digits].iter_mut().zip(&mask[1..]) {
+        *byte ^= mask;
+        number = (number << 8) | u32::from(*byte);
+    }
+    let body = at + digits;
+    let seal = packet.len().checked_sub(TAG).filter(|&seal| seal >= body)?;
+    let tag = Tag::clone_from_slice(&packet[seal..]);
+    packet.truncate(seal);
+    let (head, frames) = packet.split_at_mut(body);
+    keys.seal.decrypt_in_place_detached(&keys.nonce(number), head, frames, &tag).ok()?;
+    Some(Opened { to, from, frames: frames.to_vec() })
+}
+
+/// Seals an Initial of these frames, padded so that the packet has at least `at_least` bytes.
+pub fn seal(
+    first_id: &[u8],
+    side: Side,
+    to: &[u8],
+    from: &[u8],
+    number: u32,
+    frames: &[u8],
+    at_least: usize,
+) -> Vec<u8> {
+    let mut packet = Vec::with_capacity(at_least + 64);
+    put_long(&mut packet, 0xc3, VERSION_1, to, from);
+    packet.put_u8(0);
+    let mut frames = frames.to_vec();
+    // A header sample reaches 16 bytes past the number, which four bytes of frames and the seal fill.
+    let room = packet.len() + 2 + 4 + TAG;
+    frames.resize(frames.len().max(at_least.saturating_sub(room)).max(4), 0);
+    put_varint2(&mut packet, (4 + frames.len() + TAG) as u16);
+    let at = packet.len();
+    packet.put_u32(number);
+    let keys = Keys::derive(first_id, side);
+    let tag = keys
+        .seal
+        .encrypt_in_place_detached(&keys.nonce(number), &packet, &mut frames)
+        .expect("a packet is within the cipher's bounds");
+    packet.put_slice(&frames);
+    packet.put_slice(&tag);
+    let mask = keys.mask(&packet[at + 4..at + 20]);
+    packet[0] ^= mask[0] & 0x0f;
+    for (byte, mask) in packet[at..at + 4].iter_mut().zip(&mask[1..]) {
+        *byte ^= mask;
+    }
+    packet
+}
+
+/// A `CONNECTION_CLOSE` frame of the transport, with a short reason.
+pub fn close_frame(code: u64, reason: &str) -> Vec<u8> {
+    let reason = &reason.as_bytes()[..reason.len().min(64)];
+    let mut out = Vec::with_capacity(6 + reason.len());
+    out.put_u8(0x1c);
+    put_varint2(&mut out, code as u16);
+    out.put_u8(0);
+    put_varint2(&mut out, reason.len() as u16);
+    out.put_slice(reason);
+    out
+}
+
+/// The error code and the reason, if frames of an Initial close the connection.
+pub fn closes(frames: &[u8]) -> Option<(u64, String)> {
+    let mut rest = frames;
+    for _ in 0..MAX_FRAMES {
+        while rest.first() == Some(&0) {
+            rest.advance(1);
+        }
+        match rest.try_get_u8().ok()? {
+            0x01 => {}
+            kind @ (0x02 | 0x03) => {
+                for _ in 0..2 {
+                    take_varint(&mut rest)?;
+                }
+                let ranges = take_varint(&mut rest)?;
+                take_varint(&mut rest)?;
+                let counts = if kind == 0x03 { 3 } else { 0 };
+                for _ in 0..ranges.checked_mul(2)?.checked_add(counts)?.min(1 << 12) {
+                    take_varint(&mut rest)?;
+                }
+            }
+            0x06 => {
+                take_varint(&mut rest)?;
+                let length = usize::try_from(take_varint(&mut rest)?).ok()?;
+                rest = rest.get(length..)?;
+            }
+            0x1c => {
+                let code = take_varint(&mut rest)?;
+                take_varint(&mut rest)?;
+                let length = usize::try_from(take_varint(&mut rest)?).ok()?;
+                return Some((code, String::from_utf8_lossy(rest.get(..length)?).into_owned()));
+            }
+            _ => return None,
+        }
+    }
+    None
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The example of RFC 9001, appendix A.1.
+    #[test]
+    fn keys_are_those_of_the_standard() {
+        let id = [0x83, 0x94, 0xc8, 0xf0, 0x3e, 0x51, 0x57, 0x08];
+        let client = Keys::derive(&id, Side::Client);
+        assert_eq!(client.iv, [0xfa, 0x04, 0x4b, 0x2f, 0x42, 0xa3, 0xfd, 0x3b, 0x46, 0xfb, 0x25, 0x5c]);
+        let server = Keys::derive(&id, Side::Server);
+        assert_eq!(server.iv, [0x0a, 0xc1, 0x49, 0x3c, 0xa1, 0x90, 0x58, 0x53, 0xb0, 0xbb, 0xa0, 0x3e]);
+        // Appendix A.2: the sample of the client's Initial and the mask it gives.
+        let sample = 0xd1b1_c98d_d768_9fb8_ec11_d242_b123_dc9b_u128.to_be_bytes();
+        assert_eq!(client.mask(&sample), [0x43, 0x7b, 0x9a, 0xec, 0x36]);
+    }
+}
