--- a/src/config.rs
+++ b/src/config.rs
@@ -200,7 +200,7 @@
 }
 
 fn hex(text: &str) -> Option<Vec<u8>> {
-    let digits = text.len().is_multiple_of(2) && text.is_ascii();
+    let digits = text.len() % 2 == 0 && text.is_ascii();
     let byte = |at| u8::from_str_radix(&text[at..at + 2], 16).ok();
     digits.then(|| (0..text.len()).step_by(2).map(byte).collect()).flatten()
 }
@@ -299,7 +299,7 @@
             check(fronts.quic.is_some(), "vrrp", "there is no [quic] that it could gate")?;
             check(vrrp.router > 0, "vrrp.router", "must be 1 to 255")?;
             check(vrrp.priority > 0, "vrrp.priority", "must be 1 to 255")?;
-            let ticks = vrrp.interval_ms.is_multiple_of(10) && (10..=40_950).contains(&vrrp.interval_ms);
+            let ticks = vrrp.interval_ms % 10 == 0 && (10..=40_950).contains(&vrrp.interval_ms);
             check(ticks, "vrrp.interval_ms", "must be a multiple of 10 up to 40950")?;
             check(vrrp.addresses.len() <= 16, "vrrp.addresses", "must be 16 at most")?;
         }
