--- a/src/engine.rs
+++ b/src/engine.rs
@@ -182,6 +182,11 @@
         self.records.contains_key(&id)
     }
 
+    /// The server of the attempt or connection that is out.
+    pub fn server_of(&self, id: RequestId) -> Option<ServerId> {
+        self.records.get(&id)?.out.as_ref().map(|open| open.server)
+    }
+
     /// How many connections the module counts on a server, attempts included.
     pub fn open_on(&self, server: ServerId) -> u32 {
         self.module.open_connections(server)
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -25,6 +25,10 @@
 const LAST_MARGIN: Duration = Duration::from_millis(400);
 /// Clients keep coming for a while after SIGTERM: no exit before.
 const STAY: Duration = Duration::from_millis(900);
+/// Lines of trouble with servers that are logged within [`NOTE_WITHIN`].
+const MAX_NOTES: u32 = 20;
+/// See [`MAX_NOTES`].
+const NOTE_WITHIN: Span = Span::from_micros(1_000_000);
 /// A final answer that waits for its client to read it, at most.
 const FLUSH: Duration = Duration::from_millis(150);
 
@@ -133,6 +137,8 @@
     fleet: watch::Sender<BTreeMap<String, SocketAddr>>,
     connect_timeout: Duration,
     effects: Vec<Effect>,
+    /// Since when lines of trouble are counted, and how many there were.
+    noting: (Time, u32),
     /// No exit before the first; exit at the second whatever is left.
     leaving: Option<(Instant, Instant)>,
 }
@@ -181,6 +187,7 @@
             fleet: watch::Sender::new(BTreeMap::new()),
             connect_timeout: duration(config.facts.connect_timeout()),
             effects: Vec::new(),
+            noting: (anchor.0, 0),
             leaving: None,
         };
         Ok((core, handle))
@@ -225,7 +232,8 @@
     }
 
     fn report(&mut self, report: Report) {
-        let (now, out) = (self.now(), &mut self.effects);
+        let now = self.now();
+        let out = &mut self.effects;
         match report {
             Report::Request(id, ask, port) => {
                 self.ports.insert(id, port);
@@ -248,6 +256,10 @@
             }
             Report::Up(id, attempt) => self.engine.established(now, id, attempt, out),
             Report::Ended(id, attempt, outcome) => {
+                if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
+                    self.note(now, id, attempt, &format!("{outcome:?}"));
+                }
+                let out = &mut self.effects;
                 self.engine.ended(now, id, attempt, outcome, out);
                 if !self.engine.holds(id) {
                     self.forget_unless_answered(id);
@@ -276,6 +288,22 @@
         }
     }
 
+    /// Logs trouble with a server, so many lines a second at most.
+    fn note(&mut self, now: Time, id: RequestId, attempt: u32, what: &str) {
+        let Some(server) = self.engine.server_of(id) else { return };
+        if now.since(self.noting.0) >= NOTE_WITHIN {
+            if self.noting.1 > MAX_NOTES {
+                eprintln!("server: {} more such lines", self.noting.1 - MAX_NOTES);
+            }
+            self.noting = (now, 0);
+        }
+        self.noting.1 += 1;
+        if self.noting.1 <= MAX_NOTES {
+            let name = &self.names.servers.names()[server.0 as usize];
+            eprintln!("server: {name}: request {} attempt {attempt}: {what}", id.0);
+        }
+    }
+
     /// A connection that has ended has no use for commands; a request that was just answered does.
     fn forget_unless_answered(&mut self, id: RequestId) {
         let answered = |effect: &Effect| matches!(effect, Effect::Answer { id: it, .. } if *it == id);
