Reload the configuration on SIGHUP and follow discovery to its new address

Its log has no line about it, as no code of ours ran: main.rs installed a handler for SIGTERM only, and the default action of SIGHUP is to end the process. Beside it, net/discovery.rs held one fixed address, and config.rs put ROUTER_DISCOVERY before the file, so a reload could not have moved the watch either.

Now both handlers are installed before anything listens; the file is read and checked off the serving thread; its `discovery` wins on a reload and a watch channel carries it to the driver, which leaves the old watch at once and asks the new service from version 0. Keys that need a restart are logged.

--- a/src/config.rs
+++ b/src/config.rs
@@ -91,6 +91,72 @@
     pub facts: Facts,
     /// How long a planned stop may take.
     pub grace: Duration,
+    /// What a reload compares with.
+    pub standing: Standing,
+}
+
+/// Keys of the file that take effect at a start only. `seed` and `known` are of a start by nature.
+const AT_START: [&str; 7] = ["name", "listen", "limits", "settings", "peer_listen", "peers", "peers_all"];
+
+/// The configuration that runs, as a reload needs it.
+#[derive(Debug, Clone, Default)]
+pub struct Standing {
+    /// The file, where there is one.
+    path: PathBuf,
+    /// Values of [`AT_START`] as last read.
+    fixed: Vec<Value>,
+}
+
+/// What a reload brings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reloaded {
+    /// Where discovery answers from now on.
+    pub discovery: SocketAddr,
+    /// Keys that have changed and need a restart.
+    pub restart: Vec<&'static str>,
+}
+
+impl Standing {
+    fn fixed(json: &Value) -> Vec<Value> {
+        AT_START.iter().map(|&key| json[key].clone()).collect()
+    }
+
+    /// Reads the file again. Blocks.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a missing or unusable key, and says which; what runs is to be kept then.
+    pub fn read(&mut self, var: impl Fn(&str) -> Option<String>) -> Result<Reloaded, ConfigError> {
+        let json = read_json(&self.path)?;
+        self.reload(json, var)
+    }
+
+    /// Checks the file's new object. The environment was set at the start and cannot follow the
+    /// file, so `discovery` of the file goes before it here.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a missing or unusable key, and says which.
+    pub fn reload(
+        &mut self,
+        json: Value,
+        var: impl Fn(&str) -> Option<String>,
+    ) -> Result<Reloaded, ConfigError> {
+        let file_first = json["discovery"] != Value::Null;
+        let fixed = Self::fixed(&json);
+        let var = |name: &str| (name != "ROUTER_DISCOVERY" || !file_first).then(|| var(name)).flatten();
+        let config = Config::from_json(json, var)?;
+        let changed = AT_START.into_iter().zip(self.fixed.iter().zip(&fixed));
+        let restart = changed.filter(|(_, (old, new))| old != new).map(|(key, _)| key).collect();
+        self.fixed = fixed;
+        Ok(Reloaded { discovery: config.discovery, restart })
+    }
+}
+
+fn read_json(path: &Path) -> Result<Value, ConfigError> {
+    let file = |problem: String| ConfigError::File { path: path.to_owned(), problem };
+    let text = std::fs::read_to_string(path).map_err(|e| file(e.to_string()))?;
+    serde_json::from_str(&text).map_err(|e| file(e.to_string()))
 }
 
 /// The longest deadline counts as this where it is longer, for the time between SIGTERM and SIGKILL.
@@ -106,10 +172,9 @@
     /// Fails on a missing or unusable key, and says which.
     pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let path = PathBuf::from(var("ROUTER_CONFIG").ok_or(ConfigError::Missing("ROUTER_CONFIG"))?);
-        let file = |problem: String| ConfigError::File { path: path.clone(), problem };
-        let text = std::fs::read_to_string(&path).map_err(|e| file(e.to_string()))?;
-        let json: Value = serde_json::from_str(&text).map_err(|e| file(e.to_string()))?;
-        Self::from_json(json, var)
+        let mut config = Self::from_json(read_json(&path)?, var)?;
+        config.standing.path = path;
+        Ok(config)
     }
 
     /// Checks the object of the configuration file; the environment goes before it.
@@ -131,6 +196,7 @@
         let address = |(key, value): (String, String)| {
             value.parse::<SocketAddr>().map_err(|e| bad(key, format!("'{value}': {e}")))
         };
+        let standing = Standing { path: PathBuf::new(), fixed: Standing::fixed(&json) };
         let (_, name) = told("ROUTER_NAME", "name")?;
         let listen = address(told("ROUTER_LISTEN", "listen")?)?;
         let discovery = address(told("ROUTER_DISCOVERY", "discovery")?)?;
@@ -154,7 +220,7 @@
         facts.settings(&facts.names()).map_err(|e| bad("settings", e))?;
         let longest = u64::try_from(facts.longest_deadline().as_micros()).unwrap_or_default();
         let grace = Duration::from_micros(longest).min(LONGEST_GRACE) + GRACE_ADDED;
-        Ok(Self { name, listen, discovery, seed, limits, known, facts, grace })
+        Ok(Self { name, listen, discovery, seed, limits, known, facts, grace, standing })
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 
 use ashtide::config::{Config, Fronts};
 use ashtide::net::core::{Core, Report, duration};
-use ashtide::net::{discovery, listen, quic, session, vrrp};
+use ashtide::net::{discovery, listen, quic, reload, session, vrrp};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
@@ -35,7 +35,9 @@
 }
 
 async fn run(config: Config, fronts: Fronts) -> Result<(), Box<dyn std::error::Error>> {
+    // Both before anything listens: without a handler, either ends the process on the spot.
     let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
     // One call asked for while another runs: the queue's one place says so.
     let (subscribe, subscriptions) = mpsc::channel(1);
     let (core, handle) = Core::new(&config, subscribe)?;
@@ -44,7 +46,9 @@
     let listen = listener.local_addr()?;
     eprintln!("ashtide: {} listens on {listen}, at most {sessions} clients", config.name);
     let after = config.known.as_ref().map_or(0, |known| known.index);
-    tokio::spawn(discovery::follow(config.discovery, after, subscriptions, handle.clone()));
+    let (found, address) = watch::channel(config.discovery);
+    tokio::spawn(discovery::follow(address, after, subscriptions, handle.clone()));
+    tokio::spawn(reload::follow(hangup, config.standing, found));
     let times = session::Times { connect: duration(config.facts.connect_timeout()) };
     tokio::spawn(listen::serve(listener, sessions, times, handle.clone()));
     let (stop, stopping) = watch::channel(false);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -6,7 +6,7 @@
 use futures_util::StreamExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
@@ -18,14 +18,40 @@
 /// A watch says something every 2 s; one this quiet is cut off, whatever the socket says.
 const QUIET: Duration = Duration::from_millis(4500);
 
-/// Watches once for each `()` on `subscribe`; says when a watch has ended.
-pub async fn follow(address: SocketAddr, mut after: u64, mut subscribe: mpsc::Receiver<()>, core: Handle) {
-    while subscribe.recv().await.is_some() {
-        let why = match watch(address, &mut after, &core).await {
-            Ok(()) => "ended".to_owned(),
-            Err(error) => error.to_string(),
+/// Watches once for each `()` on `subscribe`, and says when a watch has ended. When discovery has
+/// another address, the old watch is left at once and the new one begun, unasked: versions of
+/// another service say nothing, so it is asked for all, and until it answers the last list stands.
+pub async fn follow(
+    mut address: watch::Receiver<SocketAddr>,
+    mut after: u64,
+    mut subscribe: mpsc::Receiver<()>,
+    core: Handle,
+) {
+    let (mut begun, mut moved) = (false, false);
+    let mut at = *address.borrow();
+    loop {
+        if !moved {
+            tokio::select! {
+                asked = subscribe.recv() => if asked.is_none() { return },
+                // Nothing is watched unasked for the first time.
+                Ok(()) = address.changed(), if begun => {}
+            }
+        }
+        begun = true;
+        let now = *address.borrow_and_update();
+        if now != at {
+            (at, after) = (now, 0);
+        }
+        let why = tokio::select! {
+            ended = watch(at, &mut after, &core) => ended,
+            Ok(()) = address.changed() => {
+                moved = true;
+                continue;
+            }
         };
-        eprintln!("discovery: watch after version {after}: {why}");
+        moved = false;
+        let why = why.map_or_else(|error| error.to_string(), |()| "ended".to_owned());
+        eprintln!("discovery: {at}: watch after version {after}: {why}");
         // Whatever was asked meanwhile was asked of the watch that has ended.
         while subscribe.try_recv().is_ok() {}
         core.tell(Report::WatchEnded).await;
@@ -44,6 +70,10 @@
             None => return Ok(()),
             Some(event) => {
                 if let WatchEvent::News(news) = event? {
+                    if patience == CALL {
+                        let what = if news.snapshot { "whole list" } else { "changes" };
+                        eprintln!("discovery: {address}: watching from version {}, {what}", news.index);
+                    }
                     *after = news.index;
                     core.tell(Report::News(news)).await;
                 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,5 +5,6 @@
 pub mod listen;
 pub mod probe;
 pub mod quic;
+pub mod reload;
 pub mod session;
 pub mod vrrp;
--- /dev/null
+++ b/src/net/reload.rs
@@ -0,0 +1,35 @@
+//! Reads the configuration again on SIGHUP.
+
+use std::net::SocketAddr;
+
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+
+use crate::config::Standing;
+
+/// Reads the file at each hang-up, off the thread that serves; `discovery` takes effect at once. A
+/// file that cannot be used changes nothing, and hang-ups that come while one is read count as one.
+pub async fn follow(mut hangups: Signal, mut standing: Standing, discovery: watch::Sender<SocketAddr>) {
+    while hangups.recv().await.is_some() {
+        let mut reading = standing.clone();
+        let read = tokio::task::spawn_blocking(move || {
+            let reloaded = reading.read(|name| std::env::var(name).ok());
+            (reading, reloaded)
+        });
+        match read.await {
+            Ok((read, Ok(reloaded))) => {
+                standing = read;
+                let moved = discovery.send_if_modified(|address| {
+                    std::mem::replace(address, reloaded.discovery) != reloaded.discovery
+                });
+                let what = if moved { "moves to" } else { "stays at" };
+                eprintln!("reload: discovery {what} {}", reloaded.discovery);
+                for key in reloaded.restart {
+                    eprintln!("reload: {key} has changed and takes effect at a restart only");
+                }
+            }
+            Ok((_, Err(error))) => eprintln!("reload: {error}; what runs is kept"),
+            Err(error) => eprintln!("reload: {error}; what runs is kept"),
+        }
+    }
+}
--- a/src/rehearsal/daemon.rs
+++ b/src/rehearsal/daemon.rs
@@ -5,9 +5,10 @@
 use std::process::{ExitStatus, Stdio};
 
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::fleet::Fleet;
@@ -32,8 +33,10 @@
     /// Where it takes QUIC.
     pub quic: Option<SocketAddr>,
     child: Child,
-    log: JoinHandle<Vec<String>>,
+    log: JoinHandle<()>,
+    said: watch::Receiver<Vec<String>>,
     files: PathBuf,
+    config: Value,
 }
 
 impl Daemon {
@@ -93,17 +96,41 @@
             said.push(line);
         }
         let echo = std::env::var_os("ASHTIDE_REHEARSE_LOG").is_some();
+        let log = watch::Sender::new(said);
+        let said = log.subscribe();
         let log = tokio::spawn(async move {
             while let Ok(Some(line)) = lines.next_line().await {
                 if echo {
                     eprintln!("  {line}");
                 }
-                said.push(line);
+                log.send_modify(|said| said.push(line));
             }
-            said
         });
         let lines = text.ok_or(RehearsalError::Late("the lines front"))?;
-        Ok(Self { lines, quic, child, log, files })
+        Ok(Self { lines, quic, child, log, said, files, config })
+    }
+
+    /// Replaces a key of the configuration file, and sends SIGHUP to this daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the file cannot be written or the daemon is no longer there.
+    pub fn reload(&mut self, key: &str, value: Value) -> Result<(), RehearsalError> {
+        self.config[key] = value;
+        std::fs::write(self.files.join("next.json"), self.config.to_string())?;
+        std::fs::rename(self.files.join("next.json"), self.files.join("config.json"))?;
+        self.signal(Signal::HUP)
+    }
+
+    /// Waits for a line of the log that begins like this.
+    ///
+    /// # Errors
+    ///
+    /// Fails where none comes.
+    pub async fn says(&mut self, beginning: &'static str) -> Result<(), RehearsalError> {
+        let begins = |said: &Vec<String>| said.iter().any(|line| line.starts_with(beginning));
+        within(beginning, self.said.wait_for(begins)).await?.map_err(|_| RehearsalError::Late(beginning))?;
+        Ok(())
     }
 
     /// Sends SIGTERM to this daemon.
@@ -112,9 +139,13 @@
     ///
     /// Fails where it is no longer there.
     pub fn terminate(&self) -> Result<(), RehearsalError> {
+        self.signal(Signal::TERM)
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), RehearsalError> {
         let id = self.child.id().and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
         let id = id.ok_or(RehearsalError::Late("a daemon that runs"))?;
-        kill_process(id, Signal::TERM).map_err(std::io::Error::from)?;
+        kill_process(id, signal).map_err(std::io::Error::from)?;
         Ok(())
     }
 
@@ -139,7 +170,8 @@
     /// Fails where it does not end.
     pub async fn end(mut self) -> Result<(ExitStatus, Vec<String>), RehearsalError> {
         let status = within("the daemon's end", self.child.wait()).await??;
-        let log = (&mut self.log).await.unwrap_or_default();
+        let _ = (&mut self.log).await;
+        let log = self.said.borrow().clone();
         Ok((status, log))
     }
 }
--- a/src/rehearsal/fleet.rs
+++ b/src/rehearsal/fleet.rs
@@ -254,7 +254,8 @@
     /// The servers.
     pub servers: Vec<Server>,
     list: watch::Sender<List>,
-    _discovery: JoinSet<()>,
+    /// The running service, and those that it replaced.
+    services: JoinSet<()>,
 }
 
 #[derive(Clone, Default)]
@@ -294,7 +295,24 @@
         let discovery = listener.local_addr()?;
         let mut tasks = JoinSet::new();
         tasks.spawn(discover(listener, list.subscribe()));
-        Ok(Self { discovery, servers: all, list, _discovery: tasks })
+        Ok(Self { discovery, servers: all, list, services: tasks })
+    }
+
+    /// Discovery answers at a new address, with versions of its own that begin anew. The old service
+    /// stays, and tells nothing new.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the system has no port for it.
+    pub async fn move_discovery(&mut self) -> Result<(), RehearsalError> {
+        let states = self.list.borrow().states.clone();
+        let old = std::mem::replace(&mut self.list, watch::Sender::new(List { version: 1, states }));
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        self.discovery = listener.local_addr()?;
+        self.services.spawn(discover(listener, self.list.subscribe()));
+        // Its watches end with their sender, so that stays.
+        self.services.spawn(async move { old.closed().await });
+        Ok(())
     }
 
     /// The list as discovery has it.
@@ -343,7 +361,12 @@
         }
     }
     let mut text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
-    text += &chunk(&format!("{}\n", list.borrow_and_update().json()));
+    // Nothing has changed since a version that is not behind.
+    let after = String::from_utf8_lossy(&head);
+    let after = after.split_once("after=").and_then(|(_, rest)| rest.split(' ').next()?.parse().ok());
+    if after.unwrap_or(0) < list.borrow_and_update().version {
+        text += &chunk(&format!("{}\n", list.borrow().json()));
+    }
     while stream.write_all(text.as_bytes()).await.is_ok() {
         text = match tokio::time::timeout(BEAT, list.changed()).await {
             Ok(Ok(())) => chunk(&format!("{}\n", list.borrow_and_update().json())),
--- a/src/rehearsal/scenarios.rs
+++ b/src/rehearsal/scenarios.rs
@@ -15,7 +15,8 @@
 use crate::quic::placing::{issue, server_key};
 
 /// The names of all scenarios.
-pub const NAMES: [&str; 7] = ["migration", "unknown-id", "refusal", "drain", "loss", "stop", "vrrp-failover"];
+pub const NAMES: [&str; 8] =
+    ["migration", "unknown-id", "refusal", "drain", "loss", "stop", "reload", "vrrp-failover"];
 /// Clients of the migration scenario, unless told otherwise.
 pub const MIGRANTS: usize = 2000;
 /// Sockets over which many stand-in clients speak.
@@ -40,6 +41,7 @@
         "drain" => drain(program).await,
         "loss" => loss(program).await,
         "stop" => stop(program).await,
+        "reload" => reload(program).await,
         "vrrp-failover" => vrrp_failover(program).await,
         other => Err(RehearsalError::Unknown(other.to_owned())),
     }
@@ -328,6 +330,48 @@
     Ok(checks)
 }
 
+/// The configuration is replaced: once by one that cannot be used, once by one with another
+/// discovery, and again during a planned stop.
+async fn reload(program: &Path) -> Result<Checks, RehearsalError> {
+    let mut checks = Checks::default();
+    let fleet = Fleet::start(2).await?;
+    // The old service's versions are ahead of those of the new one.
+    (0..4).for_each(|_| fleet.set(1, "SERVING"));
+    let daemon = Daemon::start(program, &fleet, &Options::default()).await?;
+    let mut stage = Stage { fleet, daemon, pool: Pool::open(1, ([127, 0, 0, 1], 9).into()).await? };
+    let (mut lines, up) = stage.line_clients(FEW).await?;
+    checks.equal("line clients come up", up, FEW);
+    stage.daemon.reload("discovery", "nowhere".into())?;
+    stage.daemon.says("reload: discovery: 'nowhere'").await?;
+    let (more, up) = stage.line_clients(1).await?;
+    checks.equal("an unusable file does no harm", up, 1);
+    lines.extend(more);
+    stage.fleet.move_discovery().await?;
+    let discovery = stage.fleet.discovery.to_string();
+    for _ in 0..3 {
+        stage.daemon.reload("discovery", discovery.as_str().into())?;
+    }
+    // Only the new service tells of this.
+    stage.fleet.set(0, "DRAINING");
+    let taken = stage.fleet.servers[0].seen.taken.load(Ordering::Relaxed) as usize;
+    let next = lines.iter_mut().map(|client| Box::pin(client.next()));
+    let (first, at, _) = within("a first MOVE", futures_util::future::select_all(next)).await?;
+    checks.equal("a client hears of a drain that the new service tells", first?.as_deref(), Some("MOVE"));
+    lines.swap_remove(at);
+    stage.daemon.terminate()?;
+    stage.daemon.reload("listen", "127.0.0.1:1".into())?;
+    stage.daemon.says("reload: listen has changed").await?;
+    let mut moved = 1;
+    for client in &mut lines {
+        moved += usize::from(client.is_moved().await?);
+    }
+    checks.equal("all clients are told to move", moved, FEW + 1);
+    checks.that("the draining server had clients", taken > 0, taken);
+    let (status, _) = stage.daemon.end().await?;
+    checks.that("the daemon ends well", status.success(), status);
+    Ok(checks)
+}
+
 /// Two copies, one virtual router.
 async fn vrrp_failover(program: &Path) -> Result<Checks, RehearsalError> {
     let mut checks = Checks::default();
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -220,3 +220,23 @@
     }
     assert!(Fronts::parse(include_str!("../deploy/quic.toml")).is_ok());
 }
+
+#[test]
+fn on_a_reload_the_file_goes_before_the_environment() {
+    let file = |discovery: &str, sockets: u32| {
+        let limits = serde_json::json!({"memory_mb": 32, "sockets": sockets});
+        let keys = ["name", "listen", "discovery", "limits", "settings"];
+        let values = ["n".into(), "127.0.0.1:1".into(), discovery.into(), limits, serde_json::json!({})];
+        serde_json::Value::from_iter(keys.into_iter().zip(values))
+    };
+    let told = |name: &str| (name == "ROUTER_DISCOVERY").then(|| "127.0.0.1:7".to_owned());
+    let mut config = Config::from_json(file("127.0.0.1:2", 256), told).unwrap();
+    assert_eq!(config.discovery.port(), 7);
+    let mut reload = |discovery: &str, sockets| config.standing.reload(file(discovery, sockets), told);
+    let good = reload("127.0.0.1:3", 256).unwrap();
+    assert_eq!((good.discovery.port(), good.restart), (3, vec![]));
+    assert!(reload("nowhere", 512).unwrap_err().to_string().starts_with("discovery: 'nowhere'"));
+    // What was unusable has not taken the place of what runs.
+    let changed = reload("127.0.0.1:4", 512).unwrap();
+    assert_eq!((changed.discovery.port(), changed.restart), (4, vec!["limits"]));
+}
--- a/tests/rehearsal.rs
+++ b/tests/rehearsal.rs
@@ -29,5 +29,6 @@
     a_draining_server_loses_its_clients_politely: "drain";
     clients_of_lost_servers_are_told: "loss";
     a_planned_stop_moves_everyone: "stop";
+    a_reload_moves_to_the_new_discovery: "reload";
     the_backup_takes_over: "vrrp-failover";
 }
