Bound clients without a session, answer bad ones in 2 s, refuse ids that are open

A trace of all first lines showed what they are: copies of an OPEN whose id is still open (one id up to 16 times), classes that do not exist, waits of -5, `soon` and 23 digits, no list, garbage.

At fault: session.rs (FIRST_LINE 30 s, restarted by each PING, inside a session permit; one early line stopped all reading; no table of open ids), lines.rs (figures parsed as any float, names twice), and listen.rs (what was over the limit got a place among 32 or was dropped).

Now a client without a session has a place in a lobby that shares the descriptors left by sessions; the oldest makes room for the next. It has 2 s to say what it wants, whatever it says before. An id that is open is claimed by its session until the server's side is closed. `at=` ends when the first new connection comes up. After a last line 256 KiB are drained at most. Log lines are limited a second.

--- a/src/config.rs
+++ b/src/config.rs
@@ -44,8 +44,11 @@
     ConfigError::Value { key: key.into(), problem: problem.to_string() }
 }
 
-/// Descriptors kept for what is neither a client nor its server: listeners, discovery, the runtime.
-const KEPT_SOCKETS: usize = 64;
+/// Descriptors kept for what is neither a client nor its server: the runtime and standard streams,
+/// listeners, discovery, probes, and what is closed a moment later than it is counted.
+const KEPT_SOCKETS: usize = 32;
+/// Clients without a session that always find room.
+const WAITING: usize = 52;
 /// What a pair of sockets may hold in memory, at most: a line each way and the bookkeeping.
 const BYTES_A_SESSION: usize = 32 << 10;
 
@@ -65,11 +68,29 @@
     }
 }
 
+/// How the descriptors are shared out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// All that clients and the connections to their servers may hold.
+    pub sockets: usize,
+    /// Clients with a session: two sockets each.
+    pub sessions: usize,
+}
+
+impl Room {
+    /// How many clients may be without a session while this many have one.
+    pub fn waiting(&self, sessions: usize) -> usize {
+        self.sockets.saturating_sub(2 * sessions).max(1)
+    }
+}
+
 impl Limits {
-    /// How many clients may be held at once beside `others` sockets: two sockets each, within the memory.
-    pub fn sessions(&self, others: usize) -> usize {
-        let by_sockets = self.sockets.saturating_sub(KEPT_SOCKETS + others) / 2;
-        by_sockets.min((self.memory_mb << 20) / 2 / BYTES_A_SESSION).max(1)
+    /// The room for clients beside `others` sockets, within the memory.
+    pub fn room(&self, others: usize) -> Room {
+        let by_memory = ((self.memory_mb << 20) / 2 / BYTES_A_SESSION).max(2);
+        let sockets = self.sockets.saturating_sub(KEPT_SOCKETS + others).min(2 * by_memory).max(3);
+        let waiting = WAITING.min(sockets / 3);
+        Room { sockets, sessions: (sockets - waiting) / 2 }
     }
 }
 
--- a/src/lines.rs
+++ b/src/lines.rs
@@ -3,7 +3,9 @@
 //! All of it is fed bytes or lines and knows no socket. [`LineCodec`] cuts the stream, [`ClientSide`]
 //! reads what clients say, [`ServerSide`] what servers answer and what an ending means.
 
+use std::collections::HashSet;
 use std::io;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::{Bytes, BytesMut};
 use tokio_util::codec::Decoder;
@@ -12,6 +14,14 @@
 
 /// Longest line, its CRLF included.
 pub const MAX_LINE: usize = 4096;
+/// Longest id, key, name or value in an `OPEN` line: real ones have 16 characters, names a few more.
+const MAX_FIELD: usize = 128;
+/// Most names in the list of an `OPEN` line.
+const MAX_NAMES: usize = 32;
+/// Longest wait that a client may ask for, in milliseconds: classes give up after seconds.
+const MAX_WAIT_MS: f64 = 600_000.0;
+/// Most lines, and bytes of them, that a client may send before its connection stands.
+const MAX_EARLY: (usize, usize) = (8, MAX_LINE);
 
 /// Why a stream cannot be read on.
 #[derive(Debug, thiserror::Error)]
@@ -69,6 +79,15 @@
     /// A name that the list must have.
     #[error("'{0}' is missing")]
     Missing(&'static str),
+    /// Which of two values counts is anybody's guess, and the server's may be another.
+    #[error("a name is there twice")]
+    Twice,
+    /// More in the line than any client has to say.
+    #[error("too long a field or list")]
+    Bounds,
+    /// A second request, or more than a few lines, before the first has its answer.
+    #[error("too much before the answer")]
+    Early,
 }
 
 /// A client's `OPEN` line.
@@ -76,6 +95,8 @@
 pub struct Open {
     /// The line as it came.
     pub raw: Bytes,
+    /// The id, fresh for each connection.
+    pub id: Bytes,
     /// `c`: the class.
     pub class: String,
     /// `t`: the tenant.
@@ -106,9 +127,14 @@
         else {
             return Err(OpenError::Form);
         };
-        if id.is_empty() || key.is_empty() {
+        if id.is_empty() || key.is_empty() || !line.bytes().all(|byte| (b' '..=b'~').contains(&byte)) {
             return Err(OpenError::Form);
         }
+        if id.len().max(key.len()) > MAX_FIELD {
+            return Err(OpenError::Bounds);
+        }
+        let id = raw.slice(5..5 + id.len());
+        let mut names = Vec::with_capacity(8);
         let (mut class, mut tenant, mut group, mut at) = (None, None, None, None);
         let (mut wait, mut wait_at, mut load) = (None, None, None);
         let mut from = line.len() - list.len();
@@ -116,28 +142,37 @@
             let start = from;
             from += pair.len() + 1;
             let (name, value) = pair.split_once('=').ok_or(OpenError::Form)?;
+            if pair.len() > MAX_FIELD || names.len() == MAX_NAMES {
+                return Err(OpenError::Bounds);
+            }
+            if names.contains(&name) {
+                return Err(OpenError::Twice);
+            }
+            names.push(name);
             match name {
                 "c" => class = Some(value.to_owned()),
                 "t" => tenant = Some(value.to_owned()),
                 "g" => group = Some(value.to_owned()),
                 "at" => at = Some(value.to_owned()),
                 "d" => {
-                    let ms: f64 = value.parse().map_err(|_| OpenError::Value("d"))?;
-                    if !(0.0..=1e9).contains(&ms) {
-                        return Err(OpenError::Value("d"));
-                    }
+                    let ms = figure(value).ok_or(OpenError::Value("d"))?;
                     wait = Some(Span::from_micros((ms * 1e3) as i64));
                     wait_at = Some((start + 2, start + pair.len()));
                 }
-                "h" => load = Some(value.parse().map_err(|_| OpenError::Value("h"))?),
+                "h" => load = Some(figure(value).ok_or(OpenError::Value("h"))?),
                 _ => {}
             }
         }
         let class = class.ok_or(OpenError::Missing("c"))?;
-        if wait.is_none() && at.is_none() {
-            return Err(OpenError::Missing("d"));
+        match wait {
+            None if at.is_none() => return Err(OpenError::Missing("d")),
+            // A connection from before the run waits for no answer, and its line says as much.
+            Some(wait) if at.is_none() && wait.as_secs() * 1e3 > MAX_WAIT_MS => {
+                return Err(OpenError::Value("d"));
+            }
+            _ => {}
         }
-        Ok(Self { class, tenant, group, wait, load, at, wait_at, raw })
+        Ok(Self { id, class, tenant, group, wait, load, at, wait_at, raw })
     }
 
     /// The line as a server gets it: unchanged but for `d`, which tells how long the gateway waits.
@@ -148,6 +183,40 @@
     }
 }
 
+/// A plain decimal number from 0 on: no sign, no exponent, no name such as `inf`.
+fn figure(text: &str) -> Option<f64> {
+    let digits = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    text.parse().ok().filter(|figure: &f64| digits && *figure <= 1e12)
+}
+
+/// The ids of requests and connections that are not over, for all clients of a gateway.
+#[derive(Debug, Clone, Default)]
+pub struct OpenIds(Arc<Mutex<HashSet<Bytes>>>);
+
+/// Holds an id; gives it back when dropped.
+#[derive(Debug)]
+pub struct Claim {
+    ids: OpenIds,
+    id: Bytes,
+}
+
+impl OpenIds {
+    /// Takes an id that no one else holds. A second bearer would be a second copy of the first's
+    /// request at a server, so it gets none.
+    pub fn claim(&self, id: &[u8]) -> Option<Claim> {
+        // A copy, so that it does not keep the whole line in memory.
+        let id = Bytes::copy_from_slice(id);
+        let new = self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        new.then(|| Claim { ids: self.clone(), id })
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.ids.0.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+    }
+}
+
 /// What a client's line asks of the gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ClientEvent {
@@ -180,12 +249,30 @@
 #[derive(Debug, Default)]
 pub struct ClientSide {
     opened: bool,
+    up: bool,
+    /// Lines, and their bytes, that came between `OPEN` and the answer.
+    early: (usize, usize),
 }
 
 impl ClientSide {
+    /// The connection stands: what the client says is the server's from now on.
+    pub fn up(&mut self) {
+        self.up = true;
+    }
+
     /// Takes one line in.
     pub fn line(&mut self, line: Bytes) -> ClientEvent {
+        if self.up {
+            return ClientEvent::Pass(line);
+        }
         if self.opened {
+            // The client should wait; a few lines are kept for the server, but never a second
+            // `OPEN`, and no more than a bounded buffer.
+            let (lines, bytes) = (self.early.0 + 1, self.early.1 + line.len());
+            if lines > MAX_EARLY.0 || bytes > MAX_EARLY.1 || line.starts_with(b"OPEN") {
+                return ClientEvent::Bad(OpenError::Early);
+            }
+            self.early = (lines, bytes);
             return ClientEvent::Pass(line);
         }
         if &line[..] == b"PING\r\n" {
--- a/src/main.rs
+++ b/src/main.rs
@@ -42,15 +42,15 @@
     let (subscribe, subscriptions) = mpsc::channel(1);
     let (core, handle) = Core::new(&config, subscribe)?;
     let listener = listen::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
-    let sessions = config.limits.sessions(fronts.quic.as_ref().map_or(0, |quic| quic.paths));
+    let room = config.limits.room(fronts.quic.as_ref().map_or(0, |quic| quic.paths));
     let listen = listener.local_addr()?;
-    eprintln!("ashtide: {} listens on {listen}, at most {sessions} clients", config.name);
+    eprintln!("ashtide: {} listens on {listen}, at most {} clients", config.name, room.sessions);
     let after = config.known.as_ref().map_or(0, |known| known.index);
     let (found, address) = watch::channel(config.discovery);
     tokio::spawn(discovery::follow(address, after, subscriptions, handle.clone()));
     tokio::spawn(reload::follow(hangup, config.standing, found));
     let times = session::Times { connect: duration(config.facts.connect_timeout()) };
-    tokio::spawn(listen::serve(listener, sessions, times, handle.clone()));
+    tokio::spawn(listen::serve(listener, room, times, handle.clone()));
     let (stop, stopping) = watch::channel(false);
     if let Some(front) = fronts.quic {
         if config.facts.names().classes.find(&front.class).is_none() {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use super::log::Limited;
 use crate::config::Config;
 use crate::discovery::{News, Status};
 use crate::engine::{Answer, Effect, Engine};
@@ -25,13 +26,11 @@
 const LAST_MARGIN: Duration = Duration::from_millis(400);
 /// Clients keep coming for a while after SIGTERM: no exit before.
 const STAY: Duration = Duration::from_millis(900);
-/// Lines of trouble with servers that are logged within [`NOTE_WITHIN`].
-const MAX_NOTES: u32 = 20;
-/// See [`MAX_NOTES`].
-const NOTE_WITHIN: Span = Span::from_micros(1_000_000);
 /// A final answer that waits for its client to read it, at most.
 const FLUSH: Duration = Duration::from_millis(150);
 
+static TROUBLE: Limited = Limited::new("server");
+
 /// What a client asks for, in the words of its front.
 #[derive(Debug, Clone, Default)]
 pub struct Ask {
@@ -137,8 +136,6 @@
     fleet: watch::Sender<BTreeMap<String, SocketAddr>>,
     connect_timeout: Duration,
     effects: Vec<Effect>,
-    /// Since when lines of trouble are counted, and how many there were.
-    noting: (Time, u32),
     /// No exit before the first; exit at the second whatever is left.
     leaving: Option<(Instant, Instant)>,
 }
@@ -187,7 +184,6 @@
             fleet: watch::Sender::new(BTreeMap::new()),
             connect_timeout: duration(config.facts.connect_timeout()),
             effects: Vec::new(),
-            noting: (anchor.0, 0),
             leaving: None,
         };
         Ok((core, handle))
@@ -257,7 +253,7 @@
             Report::Up(id, attempt) => self.engine.established(now, id, attempt, out),
             Report::Ended(id, attempt, outcome) => {
                 if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
-                    self.note(now, id, attempt, &format!("{outcome:?}"));
+                    self.note(id, attempt, outcome);
                 }
                 let out = &mut self.effects;
                 self.engine.ended(now, id, attempt, outcome, out);
@@ -288,19 +284,11 @@
         }
     }
 
-    /// Logs trouble with a server, so many lines a second at most.
-    fn note(&mut self, now: Time, id: RequestId, attempt: u32, what: &str) {
-        let Some(server) = self.engine.server_of(id) else { return };
-        if now.since(self.noting.0) >= NOTE_WITHIN {
-            if self.noting.1 > MAX_NOTES {
-                eprintln!("server: {} more such lines", self.noting.1 - MAX_NOTES);
-            }
-            self.noting = (now, 0);
-        }
-        self.noting.1 += 1;
-        if self.noting.1 <= MAX_NOTES {
+    /// Logs trouble with a server.
+    fn note(&self, id: RequestId, attempt: u32, what: Outcome) {
+        if let Some(server) = self.engine.server_of(id) {
             let name = &self.names.servers.names()[server.0 as usize];
-            eprintln!("server: {name}: request {} attempt {attempt}: {what}", id.0);
+            TROUBLE.say(format_args!("{name}: request {} attempt {attempt}: {what:?}", id.0));
         }
     }
 
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,20 +1,24 @@
 //! Accepts clients of the lines front.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::Semaphore;
 
 use super::core::Handle;
-use super::session;
+use super::lobby::Lobby;
+use super::log::Limited;
+use super::session::{Front, Times};
+use crate::config::Room;
 
 /// Connections that wait to be accepted: all clients of a restart at once.
 const BACKLOG: u32 = 1024;
 /// After an accept that failed (no descriptor left, say), the next one waits a little.
 const AFTER_FAILURE: Duration = Duration::from_millis(20);
-/// Clients above the limit that may be told so at the same time.
-const TURNED_AWAY: usize = 32;
+/// Clients accepted in a row before those accepted get their turn: a burst must not keep the others
+/// and the core waiting, nor displace a client that has not had the chance to be heard.
+const IN_A_ROW: usize = 8;
+
+static TROUBLE: Limited = Limited::new("clients");
 
 /// Binds the address on which clients come.
 ///
@@ -29,30 +33,23 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts for ever; at most `sessions` clients are served at once, the others turned away.
-pub async fn serve(listener: TcpListener, sessions: usize, times: session::Times, core: Handle) {
-    let free = Arc::new(Semaphore::new(sessions));
-    let spare = Arc::new(Semaphore::new(TURNED_AWAY));
+/// Accepts for ever, whoever comes; the room decides who may stay.
+pub async fn serve(listener: TcpListener, room: Room, times: Times, core: Handle) {
+    let front = Front::new(Lobby::new(room), times, core);
+    let mut row = 0;
     loop {
         match listener.accept().await {
             Ok((client, _)) => {
-                if let Ok(permit) = free.clone().try_acquire_owned() {
-                    let core = core.clone();
-                    tokio::spawn(async move {
-                        session::serve(client, times, core).await;
-                        drop(permit);
-                    });
-                } else if let Ok(permit) = spare.clone().try_acquire_owned() {
-                    tokio::spawn(async move {
-                        session::turn_away(client).await;
-                        drop(permit);
-                    });
-                } else {
-                    eprintln!("clients: over the limit of {sessions}, one dropped");
+                let (place, crowded) = front.lobby.enter();
+                tokio::spawn(front.clone().meet(client, place));
+                row += 1;
+                if crowded || row >= IN_A_ROW {
+                    row = 0;
+                    tokio::task::yield_now().await;
                 }
             }
             Err(error) => {
-                eprintln!("clients: accept failed: {error}");
+                TROUBLE.say(format_args!("accept failed: {error}"));
                 tokio::time::sleep(AFTER_FAILURE).await;
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,8 @@
 pub mod core;
 pub mod discovery;
 pub mod listen;
+pub mod lobby;
+pub mod log;
 pub mod probe;
 pub mod quic;
 pub mod reload;
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -5,31 +5,41 @@
 //! way until it has been: that is the back-pressure. `Framed`'s buffer moves its rest to the front
 //! where a ring would wrap; no second buffer stands behind it.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::FramedRead;
 
 use super::core::{Ask, COMMANDS, Command, Handle, Report, duration};
+use super::lobby::{Lobby, Place};
+use super::log::Limited;
 use crate::engine::Answer;
 use crate::interface::{Outcome, RequestId, Span};
 use crate::lines::{
-    ClientEvent, ClientSide, FAILED, LineCodec, LineError, MOVE, Open, PONG, ServerEvent, ServerSide, busy,
+    Claim, ClientEvent, ClientSide, FAILED, LineCodec, LineError, MOVE, Open, OpenError, OpenIds, PONG,
+    ServerEvent, ServerSide, busy,
 };
 
-/// A client that has not said what it wants by then is let go.
-const FIRST_LINE: Duration = Duration::from_secs(30);
+/// From its arrival on, a client has so long to say what it wants, whatever it says before: a bad one
+/// is owed an end within 3 s.
+const FIRST_LINE: Duration = Duration::from_millis(2000);
 /// How long a last line may take to be written.
-const LAST_LINE: Duration = Duration::from_secs(1);
+const LAST_LINE: Duration = Duration::from_millis(500);
 /// How long a socket that has been ended waits for its other end, so that no reset overtakes the
 /// last line.
-const LINGER: Duration = Duration::from_secs(1);
+const LINGER: Duration = Duration::from_millis(500);
+/// What is read meanwhile and thrown away, at most: who sends more gets the reset.
+const DRAIN: usize = 256 << 10;
+/// What is read at a time to be thrown away.
+const DRAIN_ROOM: usize = 4096;
 /// A connection from before the run is lost if it is not up by then.
 const EXISTING: Duration = Duration::from_secs(40);
 /// Wait between tries to reach the server of a connection from before the run.
@@ -39,6 +49,9 @@
 /// Room for a line to begin with; lines are short, and a longer one makes more.
 const LINE_ROOM: usize = 1024;
 
+static BAD: Limited = Limited::new("client");
+static CROWD: Limited = Limited::new("clients");
+
 /// Limits on time that the settings give.
 #[derive(Debug, Clone, Copy)]
 pub struct Times {
@@ -67,9 +80,19 @@
             return;
         }
         let _ = self.write.shutdown().await;
-        let mut rest = [0; 512];
-        let read = self.lines.get_mut();
-        let _ = timeout(LINGER, async { while matches!(read.read(&mut rest).await, Ok(1..)) {} }).await;
+        let mut read = self.lines.into_inner();
+        let mut rest = BytesMut::with_capacity(DRAIN_ROOM);
+        let drain = async {
+            let mut left = DRAIN;
+            while let Ok(read @ 1..) = read.read_buf(&mut rest).await {
+                left = left.saturating_sub(read);
+                if left == 0 {
+                    return;
+                }
+                rest.clear();
+            }
+        };
+        let _ = timeout(LINGER, drain).await;
     }
 
     /// Ends as the other side did: with a reset.
@@ -80,75 +103,164 @@
     }
 }
 
-/// Tells a client over the limit to come again.
-pub async fn turn_away(client: TcpStream) {
-    let mut client = Peer::new(client);
-    let first = timeout(LINGER, client.lines.next()).await;
-    if let Ok(Some(Ok(line))) = first {
-        let answer = if &line[..] == b"PING\r\n" { Bytes::from_static(PONG) } else { busy(OVER_LIMIT) };
-        client.finish(&answer).await;
+/// What all clients of the lines front share.
+#[derive(Clone)]
+pub struct Front {
+    /// Who may stay.
+    pub lobby: Lobby,
+    times: Times,
+    core: Handle,
+    ids: OpenIds,
+    /// A connection has come up that did not stand before: the run has begun, and with it the time
+    /// of `at=` is over. It names a server past all decisions, so it must not stay open to anyone.
+    begun: Arc<AtomicBool>,
+}
+
+/// How a client's first lines ended.
+enum First {
+    Open(Box<Open>),
+    Bad(LineOrOpen),
+    /// Nothing more is owed.
+    Over,
+}
+
+/// Why a client is bad.
+#[derive(Debug, thiserror::Error)]
+enum LineOrOpen {
+    #[error(transparent)]
+    Line(#[from] LineError),
+    #[error(transparent)]
+    Open(#[from] OpenError),
+    #[error("nothing asked for within {FIRST_LINE:?}")]
+    Late,
+    #[error("the id of a request that is still open")]
+    Id,
+    #[error("'at' after the start")]
+    At,
+}
+
+impl Front {
+    /// The front, with no clients yet.
+    pub fn new(lobby: Lobby, times: Times, core: Handle) -> Self {
+        Self { lobby, times, core, ids: OpenIds::default(), begun: Arc::default() }
+    }
+
+    /// Serves one client. Its place is kept until it has a session or has gone.
+    pub async fn meet(self, client: TcpStream, mut place: Place) {
+        let (mut client, mut side) = (Peer::new(client), ClientSide::default());
+        let first = tokio::select! {
+            biased;
+            first = first(&mut client, &mut side) => first,
+            () = place.displaced() => {
+                let _ = client.write.try_write(&busy(OVER_LIMIT));
+                return;
+            }
+        };
+        let admitted = match first {
+            First::Open(open) => self.admit(open),
+            First::Bad(why) => Err(self.refuse(&why)),
+            First::Over => return,
+        };
+        match admitted {
+            Ok((open, permit, claim)) => {
+                drop(place);
+                self.open(client, side, open, claim).await;
+                drop(permit);
+            }
+            Err(answer) => tokio::select! {
+                biased;
+                () = client.finish(&answer) => {}
+                () = place.displaced() => {}
+            },
+        }
+    }
+
+    fn refuse(&self, why: &LineOrOpen) -> Bytes {
+        BAD.say(why);
+        Bytes::from_static(FAILED)
+    }
+
+    /// Whether the client may have what it asks for, or what it is answered at once.
+    fn admit(&self, open: Box<Open>) -> Result<(Box<Open>, OwnedSemaphorePermit, Claim), Bytes> {
+        if open.at.is_some() && self.begun.load(Ordering::Relaxed) {
+            return Err(self.refuse(&LineOrOpen::At));
+        }
+        let claim = self.ids.claim(&open.id).ok_or_else(|| self.refuse(&LineOrOpen::Id))?;
+        let Some(permit) = self.lobby.session() else {
+            CROWD.say("all sessions are taken, one told to come again");
+            return Err(busy(OVER_LIMIT));
+        };
+        Ok((open, permit, claim))
+    }
+
+    async fn open(&self, client: Peer, side: ClientSide, open: Box<Open>, claim: Claim) {
+        let id = self.core.next_id();
+        let (port, commands) = mpsc::channel(COMMANDS);
+        let wait = open.wait.unwrap_or(Span::from_micros(EXISTING.as_micros() as i64));
+        let ask = Ask {
+            class: open.class.clone(),
+            tenant: open.tenant.clone(),
+            group: open.group.clone(),
+            wait,
+            load: open.load,
+        };
+        self.core
+            .tell(match &open.at {
+                Some(server) => Report::Existing(id, ask, server.clone(), port),
+                None => Report::Request(id, ask, port),
+            })
+            .await;
+        let (front, early) = (self.clone(), BytesMut::new());
+        Session { id, open: *open, client, side, early, commands, front, claim }.run().await;
     }
 }
 
-/// Serves one client.
-pub async fn serve(client: TcpStream, times: Times, core: Handle) {
-    let mut client = Peer::new(client);
-    let mut side = ClientSide::default();
-    let open = loop {
-        match timeout(FIRST_LINE, client.lines.next()).await {
-            Ok(Some(Ok(line))) => match side.line(line) {
-                ClientEvent::Ping => {
-                    if client.write.write_all(PONG).await.is_err() {
-                        return;
-                    }
-                }
-                ClientEvent::Open(open) => break open,
-                ClientEvent::Pass(_) => return,
-                ClientEvent::Bad(error) => {
-                    eprintln!("client: {error}");
-                    return client.finish(FAILED).await;
+/// Reads until the client has said what it wants or its time is up.
+async fn first(client: &mut Peer, side: &mut ClientSide) -> First {
+    let by = Instant::now() + FIRST_LINE;
+    let mut asked = false;
+    loop {
+        let line = match timeout_at(by, client.lines.next()).await {
+            Ok(Some(Ok(line))) => line,
+            Ok(Some(Err(LineError::Io(_))) | None) => return First::Over,
+            Ok(Some(Err(error))) => return First::Bad(error.into()),
+            // A `PING` has been answered; a client that only asks that is owed no error.
+            Err(_) if asked => return First::Over,
+            Err(_) => return First::Bad(LineOrOpen::Late),
+        };
+        match side.line(line) {
+            ClientEvent::Ping => {
+                asked = true;
+                // One that does not read its answers has no claim to more of them.
+                if !matches!(timeout_at(by, client.write.write_all(PONG)).await, Ok(Ok(()))) {
+                    return First::Over;
                 }
-            },
-            Ok(Some(Err(LineError::TooLong))) => {
-                eprintln!("client: {}", LineError::TooLong);
-                return client.finish(FAILED).await;
             }
-            Ok(Some(Err(LineError::Io(_))) | None) | Err(_) => return,
+            ClientEvent::Open(open) => return First::Open(open),
+            ClientEvent::Pass(_) => return First::Over,
+            ClientEvent::Bad(error) => return First::Bad(error.into()),
         }
-    };
-    let id = core.next_id();
-    let (port, commands) = mpsc::channel(COMMANDS);
-    let wait = open.wait.unwrap_or(Span::from_micros(EXISTING.as_micros() as i64));
-    let ask = Ask {
-        class: open.class.clone(),
-        tenant: open.tenant.clone(),
-        group: open.group.clone(),
-        wait,
-        load: open.load,
-    };
-    core.tell(match &open.at {
-        Some(server) => Report::Existing(id, ask, server.clone(), port),
-        None => Report::Request(id, ask, port),
-    })
-    .await;
-    Session { id, open: *open, client, early: None, commands, core, times }.run().await;
+    }
 }
 
 /// What became of the client while an attempt was out or awaited.
 enum Client {
     Spoke(Bytes),
     Left,
+    Bad(LineOrOpen),
 }
 
 struct Session {
     id: RequestId,
     open: Open,
     client: Peer,
-    /// A line that came before the connection stood; nothing more is read until it does.
-    early: Option<Bytes>,
+    side: ClientSide,
+    /// The few lines that came before the connection stood. The client is read all the time, so that
+    /// its leaving is seen.
+    early: BytesMut,
     commands: mpsc::Receiver<(RequestId, Command)>,
-    core: Handle,
-    times: Times,
+    front: Front,
+    claim: Claim,
 }
 
 impl Session {
@@ -162,13 +274,15 @@
                                 return self.pass(attempt, server, side, line).await;
                             }
                             Tried::Over(outcome) => {
-                                self.core.tell(Report::Ended(self.id, attempt, outcome)).await;
+                                self.front.core.tell(Report::Ended(self.id, attempt, outcome)).await;
                                 if self.open.at.is_some() {
+                                    drop(self.claim);
                                     return self.client.finish(FAILED).await;
                                 }
                             }
                             Tried::Closed => {}
                             Tried::Left => return self.left().await,
+                            Tried::Bad(why) => return self.bad(&why).await,
                         }
                     }
                     Some((_, Command::Close { .. })) => {}
@@ -177,19 +291,29 @@
                     // The core ends with the process only.
                     None => return,
                 },
-                seen = watch(&mut self.client.lines), if self.early.is_none() => match seen {
-                    Client::Spoke(line) => self.early = Some(line),
+                seen = watch(&mut self.client.lines, &mut self.side) => match seen {
+                    Client::Spoke(line) => self.early.extend_from_slice(&line),
                     Client::Left => return self.left().await,
+                    Client::Bad(why) => return self.bad(&why).await,
                 },
             }
         }
     }
 
     async fn left(self) {
-        self.core.tell(Report::Left(self.id)).await;
+        self.front.core.tell(Report::Left(self.id)).await;
+    }
+
+    /// A client that did not wait for its answer: the request is called off, and this is its answer.
+    async fn bad(self, why: &LineOrOpen) {
+        self.front.core.tell(Report::Left(self.id)).await;
+        let answer = self.front.refuse(why);
+        drop(self.claim);
+        self.client.finish(&answer).await;
     }
 
     async fn answer(self, answer: Answer) {
+        drop(self.claim);
         match answer {
             Answer::Refused(wait) => self.client.finish(&busy(wait)).await,
             Answer::Failed => self.client.finish(FAILED).await,
@@ -201,7 +325,7 @@
         let existing = self.open.at.is_some();
         let line = if existing { self.open.raw.clone() } else { self.open.forward(wait) };
         let by = Instant::now() + if existing { duration(wait).max(EXISTING) } else { duration(wait) };
-        let connect = self.times.connect;
+        let connect = self.front.times.connect;
         let dial = async {
             loop {
                 let side = ServerSide::default();
@@ -224,9 +348,10 @@
                     Some(_) => {}
                     None => return Tried::Left,
                 },
-                seen = watch(&mut self.client.lines), if self.early.is_none() => match seen {
-                    Client::Spoke(line) => self.early = Some(line),
+                seen = watch(&mut self.client.lines, &mut self.side) => match seen {
+                    Client::Spoke(line) => self.early.extend_from_slice(&line),
                     Client::Left => return Tried::Left,
+                    Client::Bad(why) => return Tried::Bad(why),
                 },
             }
         }
@@ -235,9 +360,13 @@
     /// Passes lines both ways until either side ends or the core moves the client.
     async fn pass(mut self, attempt: u32, mut server: Peer, mut side: ServerSide, up: Bytes) {
         let id = self.id;
-        self.core.tell(Report::Up(id, attempt)).await;
+        self.front.core.tell(Report::Up(id, attempt)).await;
+        self.side.up();
+        if self.open.at.is_none() {
+            self.front.begun.store(true, Ordering::Relaxed);
+        }
         let mut to_client = up;
-        let mut to_server = self.early.take().unwrap_or_default();
+        let mut to_server = self.early.split().freeze();
         let mut last = false;
         let end = loop {
             if last && to_client.is_empty() {
@@ -254,19 +383,19 @@
                         break End::Server(side.end());
                     }
                     if to_server.is_empty() {
-                        self.core.tell(Report::Asked(id)).await;
+                        self.front.core.tell(Report::Asked(id)).await;
                     }
                 }
                 line = server.lines.next(), if to_client.is_empty() && !last => match line {
                     Some(Ok(line)) => match side.line(line) {
                         ServerEvent::Load(line, load) => {
                             to_client = line;
-                            self.core.tell(Report::Load(id, load / 1e6)).await;
+                            self.front.core.tell(Report::Load(id, load / 1e6)).await;
                         }
                         ServerEvent::Last(line) => (to_client, last) = (line, true),
                         ServerEvent::Pass(line) | ServerEvent::Up(line) => {
                             to_client = line;
-                            self.core.tell(Report::Answered(id)).await;
+                            self.front.core.tell(Report::Answered(id)).await;
                         }
                         ServerEvent::Over(_) => {}
                     },
@@ -276,8 +405,8 @@
                     Some(Ok(line)) => to_server = line,
                     None => break End::Client(false),
                     Some(Err(LineError::Io(_))) => break End::Client(true),
-                    Some(Err(LineError::TooLong)) => {
-                        eprintln!("client: {}", LineError::TooLong);
+                    Some(Err(error)) => {
+                        BAD.say(error);
                         break End::Client(false);
                     }
                 },
@@ -287,22 +416,37 @@
                 },
             }
         };
-        match end {
-            End::Client(reset) => {
-                self.core.tell(Report::Ended(id, attempt, Outcome::Cancelled)).await;
-                if reset { server.reset() } else { drop(server) }
+        // The server's side is closed before anyone else may have the id, and before the core hears.
+        let outcome = match end {
+            End::Client(true) => {
+                server.reset();
+                Some(Outcome::Cancelled)
+            }
+            End::Client(false) => {
+                drop(server);
+                Some(Outcome::Cancelled)
             }
             End::Server(outcome) => {
-                self.core.tell(Report::Ended(id, attempt, outcome)).await;
                 drop(server);
-                // A server that died says nothing: its client is told to move, and comes back soon.
-                let word = if last || outcome == Outcome::Ok { &b""[..] } else { MOVE };
-                self.client.finish(&rest(to_client, word)).await;
+                Some(outcome)
             }
             End::Moved => {
                 drop(server);
+                None
+            }
+        };
+        drop(self.claim);
+        if let Some(outcome) = outcome {
+            self.front.core.tell(Report::Ended(id, attempt, outcome)).await;
+        }
+        match end {
+            End::Client(_) => {}
+            // A server that died says nothing: its client is told to move, and comes back soon.
+            End::Server(outcome) if !last && outcome != Outcome::Ok => {
                 self.client.finish(&rest(to_client, MOVE)).await;
             }
+            End::Server(_) => self.client.finish(&rest(to_client, b"")).await,
+            End::Moved => self.client.finish(&rest(to_client, MOVE)).await,
         }
     }
 }
@@ -328,6 +472,7 @@
     Over(Outcome),
     Closed,
     Left,
+    Bad(LineOrOpen),
 }
 
 enum Dialled {
@@ -335,10 +480,16 @@
     Over(Outcome),
 }
 
-async fn watch(lines: &mut Lines) -> Client {
+async fn watch(lines: &mut Lines, side: &mut ClientSide) -> Client {
     match lines.next().await {
-        Some(Ok(line)) => Client::Spoke(line),
-        Some(Err(_)) | None => Client::Left,
+        Some(Ok(line)) => match side.line(line) {
+            ClientEvent::Pass(line) => Client::Spoke(line),
+            ClientEvent::Bad(error) => Client::Bad(error.into()),
+            // Neither comes behind an `OPEN`.
+            ClientEvent::Ping | ClientEvent::Open(_) => Client::Left,
+        },
+        Some(Err(LineError::Io(_))) | None => Client::Left,
+        Some(Err(error)) => Client::Bad(error.into()),
     }
 }
 
--- a/src/rehearsal/clients.rs
+++ b/src/rehearsal/clients.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -39,15 +40,38 @@
 }
 
 impl LineClient {
+    /// Connects and says nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the daemon takes no connection.
+    pub async fn connect(address: SocketAddr) -> Result<Self, RehearsalError> {
+        let (read, write) = within("a connection", TcpStream::connect(address)).await??.into_split();
+        Ok(Self { lines: FramedRead::new(read, LineCodec::default()), write })
+    }
+
+    /// Sends bytes until all are sent or the other side has had enough; the first line that comes, or
+    /// none before the end.
+    ///
+    /// # Errors
+    ///
+    /// Fails where neither comes.
+    pub async fn blurt(&mut self, bytes: &[u8]) -> Result<Option<String>, RehearsalError> {
+        let _ = within("an end to sending", self.write.write_all(bytes)).await?;
+        self.next().await
+    }
+
     /// Connects and asks for a connection; its answer is the first line.
     ///
     /// # Errors
     ///
     /// Fails where the daemon takes no connection or does not answer.
     pub async fn open(address: SocketAddr, number: u64) -> Result<(Self, String), RehearsalError> {
-        let (read, write) = within("a connection", TcpStream::connect(address)).await??.into_split();
-        let mut client = Self { lines: FramedRead::new(read, LineCodec::default()), write };
-        client.say(&format!("OPEN {number:016x} {number:016x} c=meter,d=3000,g={number:x}")).await?;
+        let mut client = Self::connect(address).await?;
+        // An id is fresh for each connection; the other figures are the client's own.
+        static OPENED: AtomicU64 = AtomicU64::new(1 << 32);
+        let id = OPENED.fetch_add(1, Ordering::Relaxed);
+        client.say(&format!("OPEN {id:016x} {number:016x} c=meter,d=3000,g={number:x}")).await?;
         let answer = client.next().await?.unwrap_or_default();
         Ok((client, answer))
     }
--- a/src/rehearsal/daemon.rs
+++ b/src/rehearsal/daemon.rs
@@ -24,6 +24,8 @@
     pub paths: usize,
     /// A `[vrrp]` section.
     pub vrrp: String,
+    /// Its limit on descriptors beside those; 1,024 where 0.
+    pub sockets: usize,
 }
 
 /// A running daemon.
@@ -50,9 +52,10 @@
         let number = STARTED.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let files = std::env::temp_dir().join(format!("ashtide-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&files)?;
+        let sockets = if options.sockets == 0 { 1024 } else { options.sockets };
         let config = json!({
             "name": format!("n{number}"), "listen": "127.0.0.1:0", "discovery": fleet.discovery,
-            "seed": "5eed", "limits": {"memory_mb": 192, "sockets": 1024 + 2 * options.paths},
+            "seed": "5eed", "limits": {"memory_mb": 192, "sockets": sockets + 2 * options.paths},
             "known": fleet.known(),
             "settings": {
                 "azs": ["here"], "zone": "here", "balancers": 1, "discovery": "on_request", "tick": 0.005,
--- a/src/rehearsal/scenarios.rs
+++ b/src/rehearsal/scenarios.rs
@@ -15,8 +15,8 @@
 use crate::quic::placing::{issue, server_key};
 
 /// The names of all scenarios.
-pub const NAMES: [&str; 8] =
-    ["migration", "unknown-id", "refusal", "drain", "loss", "stop", "reload", "vrrp-failover"];
+pub const NAMES: [&str; 9] =
+    ["migration", "unknown-id", "refusal", "drain", "loss", "stop", "reload", "rude", "vrrp-failover"];
 /// Clients of the migration scenario, unless told otherwise.
 pub const MIGRANTS: usize = 2000;
 /// Sockets over which many stand-in clients speak.
@@ -42,6 +42,7 @@
         "loss" => loss(program).await,
         "stop" => stop(program).await,
         "reload" => reload(program).await,
+        "rude" => rude(program).await,
         "vrrp-failover" => vrrp_failover(program).await,
         other => Err(RehearsalError::Unknown(other.to_owned())),
     }
@@ -372,11 +373,99 @@
     Ok(checks)
 }
 
+/// Clients that say nothing, nonsense, too much, or what belongs to others.
+async fn rude(program: &Path) -> Result<Checks, RehearsalError> {
+    let mut checks = Checks::default();
+    let fleet = Fleet::start(2).await?;
+    let options = Options { sockets: SMALL, ..Options::default() };
+    let daemon = Daemon::start(program, &fleet, &options).await?;
+    let mut stage = Stage { fleet, daemon, pool: Pool::open(1, ([127, 0, 0, 1], 9).into()).await? };
+    let at = stage.daemon.lines;
+    let offered = |stage: &Stage| stage.fleet.sum(|seen| &seen.offered);
+
+    // More of the silent than there are descriptors.
+    let mut silent = Vec::new();
+    for _ in 0..SMALL + FEW {
+        silent.push((Instant::now(), LineClient::connect(at).await?));
+    }
+    let usual = "c=meter,d=3000,g=1";
+    let open = |id: u64, list: &str| format!("OPEN {id:016x} 77 {list}\r\n");
+    let mut good = LineClient::connect(at).await?;
+    let answer = good.blurt(open(1, usual).as_bytes()).await?.unwrap_or_default();
+    checks.that("a usual client comes up among the silent", answer.starts_with("UP "), answer);
+    let ends = silent.iter_mut().map(|(since, client)| async move {
+        let word = client.next().await?;
+        Ok::<_, RehearsalError>((word, since.elapsed()))
+    });
+    let mut late = 0;
+    for end in futures_util::future::join_all(ends).await {
+        let (word, took) = end?;
+        let told = word.is_none_or(|word| word.starts_with("BUSY") || word == "ERR");
+        late += usize::from(!told || took > OWED);
+    }
+    checks.equal("every silent client is told or closed within 3 s", late, 0);
+    drop(silent);
+
+    let before = offered(&stage);
+    for (what, bytes) in [
+        ("the id of an open connection", open(1, usual)),
+        ("a name twice", open(2, "c=meter,d=3000,d=10,g=1")),
+        ("a load that is no number", open(3, "c=meter,d=3000,h=NaN")),
+        ("a wait of weeks", open(4, "c=meter,d=1000000000")),
+        ("a wait below nothing", open(5, "c=meter,d=-5")),
+        ("a class that is none", open(6, "c=metres,d=3000")),
+        ("a server named after the start", open(7, "c=meter,d=3000,at=s-0")),
+        ("no list", "OPEN 8 77\r\n".to_owned()),
+        ("a line without end", "x".repeat(8 << 20)),
+    ] {
+        let start = Instant::now();
+        let word = LineClient::connect(at).await?.blurt(bytes.as_bytes()).await?;
+        // One that goes on sending may be told by the reset alone.
+        let told = word.as_deref() == Some("ERR") || (word.is_none() && bytes.len() > 1 << 20);
+        checks.that(
+            &format!("{what}: an error in time"),
+            told && start.elapsed() <= OWED,
+            format!("{word:?}"),
+        );
+    }
+    checks.equal("none of these reached a server", offered(&stage), before);
+
+    // Nobody answers, so that the requests are still open when more comes.
+    stage.fleet.servers.iter().for_each(|server| server.mood(Mood::Silent));
+    let all: String = (100..200).map(|id| open(id, usual)).collect();
+    let word = LineClient::connect(at).await?.blurt(all.as_bytes()).await?;
+    checks.equal("many requests at once: an error", word.as_deref(), Some("ERR"));
+    let mut gone = LineClient::connect(at).await?;
+    gone.say(open(300, usual).trim_end()).await?;
+    gone.say("early").await?;
+    drop(gone);
+    // The id is free again once the daemon has seen that its bearer has left.
+    stage.fleet.servers.iter().for_each(|server| server.mood(Mood::Well));
+    let start = Instant::now();
+    let mut word: Option<String> = None;
+    while start.elapsed() < OWED && !word.as_deref().is_some_and(|word| word.starts_with("UP ")) {
+        word = LineClient::connect(at).await?.blurt(open(300, usual).as_bytes()).await?;
+    }
+    let seen = start.elapsed() < EARLY && word.as_deref().is_some_and(|word| word.starts_with("UP "));
+    checks.that("an early line does not hide that the client leaves", seen, format!("{word:?}"));
+    checks.that("the usual client has its connection still", good.echoes("hello").await?, "its echo");
+    checks.that("the daemon still runs", stage.daemon.runs(), "its process");
+    Ok(checks)
+}
+
+/// Descriptors of a daemon that has few.
+const SMALL: usize = 256;
+/// Bad clients are owed an end by then.
+const OWED: Duration = Duration::from_secs(3);
+/// Before an attempt at a silent server would be given up.
+const EARLY: Duration = Duration::from_millis(1200);
+
 /// Two copies, one virtual router.
 async fn vrrp_failover(program: &Path) -> Result<Checks, RehearsalError> {
     let mut checks = Checks::default();
     let fleet = Fleet::start(2).await?;
-    let (one, two) = (UdpSocket::bind("127.0.0.1:0").await?, UdpSocket::bind("127.0.0.1:0").await?);
+    // An address of their own: other tests pick ports of 127.0.0.1 at the same time.
+    let (one, two) = (UdpSocket::bind("127.0.0.2:0").await?, UdpSocket::bind("127.0.0.2:0").await?);
     let ports = (one.local_addr()?, two.local_addr()?);
     drop((one, two));
     let options = |priority: u8, own, peer| Options {
@@ -385,6 +474,7 @@
             "[vrrp]\nrouter = 7\npriority = {priority}\ninterval_ms = 50\nlisten = \"{own}\"\n\
              peers = [\"{peer}\"]\naddresses = [\"127.0.0.100\"]\n"
         ),
+        ..Options::default()
     };
     let (high, low) = (options(200, ports.0, ports.1), options(100, ports.1, ports.0));
     let first = Daemon::start(program, &fleet, &high).await?;
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -3,7 +3,7 @@
 use ashtide::Span;
 use ashtide::config::{Config, Fronts};
 use ashtide::discovery::{WatchCodec, WatchEvent};
-use ashtide::lines::{ClientSide, LineCodec, MAX_LINE, Open, ServerSide};
+use ashtide::lines::{ClientEvent, ClientSide, LineCodec, MAX_LINE, Open, OpenError, OpenIds, ServerSide};
 use ashtide::quic::header::MAX_ID;
 use ashtide::quic::initial::{self, Side};
 use ashtide::quic::placing::{MIN_ID, issue, server_key, server_of};
@@ -240,3 +240,59 @@
     let changed = reload("127.0.0.1:4", 512).unwrap();
     assert_eq!((changed.discovery.port(), changed.restart), (4, vec!["limits"]));
 }
+
+#[test]
+fn what_no_usual_client_says_is_no_open_line() {
+    let read = |list: &str| Open::parse(Bytes::from(format!("OPEN 1 2 {list}\r\n"))).err();
+    for (list, error) in [
+        ("c=a,d=9,h=0.5,x=1", None),
+        ("c=a,d=4294967,at=s-1", None),
+        ("c=a,d=4294967", Some(OpenError::Value("d"))),
+        ("c=a,d=inf", Some(OpenError::Value("d"))),
+        ("c=a,d=1e3", Some(OpenError::Value("d"))),
+        ("c=a,d=9,h=NaN", Some(OpenError::Value("h"))),
+        ("c=a,d=9,h=-1", Some(OpenError::Value("h"))),
+        ("c=a,d=9,c=b", Some(OpenError::Twice)),
+        ("c=a,d=9,x=\u{7}", Some(OpenError::Form)),
+        (&format!("c=a,d=9,g={}", "0".repeat(200)), Some(OpenError::Bounds)),
+        (&(0..40).map(|name| format!("n{name}=1,")).collect::<String>(), Some(OpenError::Bounds)),
+    ] {
+        assert_eq!(read(list), error, "{list}");
+    }
+}
+
+#[test]
+fn before_the_answer_a_client_says_little_and_asks_once() {
+    check((vec(1_usize..2000, 0..20), any::<bool>()), |(sizes, again)| {
+        let mut side = ClientSide::default();
+        prop_assert!(matches!(side.line(Bytes::from("OPEN 1 2 c=a,d=9\r\n")), ClientEvent::Open(_)));
+        let mut kept = (0, 0);
+        for size in sizes {
+            match side.line(Bytes::from(vec![b'x'; size])) {
+                ClientEvent::Pass(line) => kept = (kept.0 + 1, kept.1 + line.len()),
+                other => {
+                    prop_assert_eq!(other, ClientEvent::Bad(OpenError::Early));
+                    prop_assert!(kept.0 == 8 || kept.1 + size > MAX_LINE);
+                }
+            }
+        }
+        prop_assert!(kept.0 <= 8 && kept.1 <= MAX_LINE);
+        let line = Bytes::from("OPEN 2 2 c=a,d=9\r\n");
+        if again {
+            prop_assert_eq!(side.line(line), ClientEvent::Bad(OpenError::Early));
+        } else {
+            side.up();
+            prop_assert_eq!(side.line(line.clone()), ClientEvent::Pass(line));
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn an_open_id_has_one_bearer_until_it_is_over() {
+    let ids = OpenIds::default();
+    let first = ids.claim(b"1");
+    assert!(first.is_some() && ids.claim(b"1").is_none() && ids.claim(b"2").is_some());
+    drop(first);
+    assert!(ids.claim(b"1").is_some());
+}
--- a/tests/rehearsal.rs
+++ b/tests/rehearsal.rs
@@ -30,5 +30,6 @@
     clients_of_lost_servers_are_told: "loss";
     a_planned_stop_moves_everyone: "stop";
     a_reload_moves_to_the_new_discovery: "reload";
+    the_rude_are_told_and_the_others_served: "rude";
     the_backup_takes_over: "vrrp-failover";
 }
