--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,7 +13,7 @@
 use crate::interface::*;
 
 /// Draws in search of a fit server before the whole list is walked.
-const QUICK_DRAWS: u32 = 16;
+const QUICK_DRAWS: u32 = 6;
 /// How often servers are counted anew between list changes, as a part of the warm-up time.
 const RECOUNT: f64 = 0.25;
 /// How often this relay's connections are counted by zone, as a part of the time between notes.
@@ -29,8 +29,11 @@
 /// Multiple of the warm-up time during which a new server's filling is paced; past the warm-up, as all
 /// relays would otherwise turn to the emptiest server in the same second.
 const PACED_FOR: f64 = 2.0;
+/// A server of another zone counts as this much fuller, as a crossing has its price: a small one beside
+/// what a full server costs, so it decides between like servers only.
+const FAR: f64 = 1.25;
 /// Rungs of the ladder on which fit servers stand; see `rung`.
-const LADDER: u8 = 6;
+const LADDER: u8 = 4;
 /// First-attempt time-out, as a part of the time left. Half leaves as much for a second server.
 const FIRST_TRY: f64 = 0.5;
 /// Set-ups that a relay may have out at once grow by this much for each window of quick ones...
@@ -131,6 +134,14 @@
     settled: u32,
 }
 
+/// What a draw is among.
+#[derive(Clone, Copy, PartialEq)]
+enum Pool {
+    New,
+    Near,
+    Ready,
+}
+
 /// What a timer is for; packed into its token.
 enum Alarm {
     Request(RequestId),
@@ -159,10 +170,10 @@
     zones: BTreeMap<ZoneId, Zone>,
     recounted: Time,
     new: Vec<ServerId>,
+    /// Those of the own zone.
+    near: Vec<ServerId>,
     /// How many connections of a group this relay holds on a server.
     groups: BTreeMap<(GroupId, ServerId), u32>,
-    /// The part of this relay's connections in its own zone that are on hot servers.
-    near_hot: f64,
     list_fails: u32,
     started: bool,
 }
@@ -185,8 +196,8 @@
             zones: BTreeMap::new(),
             recounted: Time::default(),
             new: Vec::new(),
+            near: Vec::new(),
             groups: BTreeMap::new(),
-            near_hot: 0.0,
             list_fails: 0,
             started: false,
         }
@@ -249,6 +260,8 @@
         let ready = listed.filter(|s| s.listing.state == ServerState::Ready);
         self.ready = ready.map(|s| s.listing.server).collect();
         self.new = self.ready.iter().copied().filter(|&s| self.is_new(now, s)).collect();
+        let near = |&id: &ServerId| self.server(id).listing.zone == self.settings.zone;
+        self.near = self.ready.iter().copied().filter(near).collect();
         self.zones.clear();
         for &id in &self.ready {
             let new = self.is_new(now, id);
@@ -310,7 +323,7 @@
         if request.time_left <= Span::ZERO {
             return self.answer_unserved(id, actions);
         }
-        self.place(now, id, actions);
+        _ = self.place(now, id, actions);
     }
 
     /// Connections open at start are counted on the server they are told with.
@@ -329,37 +342,43 @@
     /// Places the request, or holds it while no server is fit or its turn has not come. A store that
     /// all set-ups share fails more of them the more it is asked; so each relay keeps a window of
     /// set-ups out at once, which widens while they are quick and narrows as they fail.
-    fn place(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+    ///
+    /// Says whether others may still be placed now.
+    fn place(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let free = f64::from(self.setting_up) < self.window;
         let due = now >= self.requests[&id].not_before;
-        let mut choice = None;
+        let (mut choice, mut bound) = (None, false);
         if free && due {
             // Taken out once: looking it up for each of many draws took two fifths of all instructions.
             let request = self.requests.get_mut(&id).map(std::mem::take).unwrap_or_default();
             choice = self.choose(now, &request);
+            bound = request.may_have_run.is_some();
             self.requests.insert(id, request);
         }
         match choice {
             Some(server) => self.attempt(now, id, server, actions),
             None => self.hold(now, id, actions),
         }
+        // What no server may take for its own sake says nothing of the others.
+        choice.is_some() || (free && (!due || bound))
     }
 
     /// The ordinary path: of two fit servers drawn at random with replacement, the one with
     /// fewest of this relay's own open connections; the first drawn wins a tie. While new servers have
     /// an allowance left, the first draw is among them: in a large fleet a relay would seldom draw
-    /// them otherwise, and they would idle while the old ones are overrun.
+    /// them otherwise, and they would idle while the old ones are overrun. Else it is among those of
+    /// the own zone, and the second among all: few near servers are not filled while far ones idle.
     fn choose(&mut self, now: Time, request: &Pending) -> Option<ServerId> {
         self.reckon_usual(now);
-        let stay = self.rng.random::<f64>() >= self.near_hot * self.near_hot;
-        let home = self.home(now, stay, request);
+        let home = self.home(now, request);
         let first = home
-            .or_else(|| self.draw(now, stay, request, true))
-            .or_else(|| self.draw(now, stay, request, false));
-        let (first, second) = match (first, self.draw(now, stay, request, false)) {
+            .or_else(|| self.draw(now, request, Pool::New))
+            .or_else(|| self.draw(now, request, Pool::Near))
+            .or_else(|| self.draw(now, request, Pool::Ready));
+        let (first, second) = match (first, self.draw(now, request, Pool::Ready)) {
             (Some(first), Some(second)) => (first, second),
             (first, _) => {
-                let fit = self.fit(now, stay, request);
+                let fit = self.fit(now, request);
                 let mut any = || (!fit.is_empty()).then(|| fit[self.rng.random_range(0..fit.len())]);
                 (first.or_else(&mut any)?, any()?)
             }
@@ -368,18 +387,21 @@
         Some(if keep * self.burden(second) < self.burden(first) { second } else { first })
     }
 
-    /// Draws among the ready servers, or the new ones of them, until one is on the lowest rung. A few
+    /// Draws among the ready servers, or the new or near ones of them, until one is on the lowest rung. A few
     /// draws find one unless few are; only then is the whole list worth the time to walk.
-    fn draw(&mut self, now: Time, stay: bool, request: &Pending, new: bool) -> Option<ServerId> {
+    fn draw(&mut self, now: Time, request: &Pending, from: Pool) -> Option<ServerId> {
         for _ in 0..QUICK_DRAWS {
-            let pool = if new { &self.new } else { &self.ready };
+            let pool = match from {
+                Pool::New => &self.new,
+                Pool::Near => &self.near,
+                Pool::Ready => &self.ready,
+            };
             if pool.is_empty() {
                 return None;
             }
             let server = pool[self.rng.random_range(0..pool.len())];
-            let lowest = self.rung(now, stay, request, self.server(server)) == 0;
-            if lowest
-                && (!new || self.is_new(now, server))
+            if self.rung(now, request, self.server(server)) == 0
+                && (from != Pool::New || self.is_new(now, server))
                 && self.may_get(now, request, server)
                 && self.allows(now, server)
             {
@@ -392,12 +414,11 @@
     /// Connections of a group share work on the server that holds them, and each further server pays
     /// for the group anew: a fit server on which this relay holds some of the group, the one with
     /// most of them, takes the place of the first draw.
-    fn home(&mut self, now: Time, stay: bool, request: &Pending) -> Option<ServerId> {
+    fn home(&mut self, now: Time, request: &Pending) -> Option<ServerId> {
         let group = request.group?;
         let homes = self.groups.range((group, ServerId(0))..=(group, ServerId(u32::MAX)));
         let homes = homes.map(|(&(_, server), &held)| (held, std::cmp::Reverse(server)));
-        let fit =
-            |s: ServerId| self.rung(now, stay, request, self.server(s)) == 0 && self.may_get(now, request, s);
+        let fit = |s: ServerId| self.rung(now, request, self.server(s)) == 0 && self.may_get(now, request, s);
         let ready = |s: ServerId| self.server(s).listing.state == ServerState::Ready;
         let home = homes.filter(|&(_, at)| ready(at.0) && fit(at.0)).max()?.1.0;
         self.allows(now, home).then_some(home)
@@ -408,20 +429,19 @@
     /// late, what all relays hold there, which decides where most own counts are alike.
     fn burden(&self, id: ServerId) -> f64 {
         let server = self.server(id);
-        f64::from(server.open + 1) / server.listing.size
+        let priced = self.settings.prices.cross_zone > 0.0 && server.listing.zone != self.settings.zone;
+        f64::from(server.open + 1) / server.listing.size * if priced { FAR } else { 1.0 }
     }
 
-    /// The servers fit for this request, on the first rung of the ladder that has any. Own zone first
-    /// where crossing is priced; the more of the own zone is known to be hot, the more often it is left,
-    /// as a relay hears nothing of servers on which it holds no connection. A zone hot throughout is
-    /// left, and when all are hot, none stands out and the own zone serves again. Servers that this request
-    /// has tried, and then those set aside, come last. A swamped server is on no rung: when there are
-    /// no others, the request is held, and refused in the end, so that those placed are served.
-    fn fit(&mut self, now: Time, stay: bool, request: &Pending) -> Vec<ServerId> {
+    /// The servers fit for this request, on the first rung of the ladder that has any: when all are
+    /// hot, none stands out and all serve again. Servers that this request has tried, and then those
+    /// set aside, come last. A swamped server is on no rung: when there are no others, the request is
+    /// held, and refused in the end, so that those placed are served.
+    fn fit(&mut self, now: Time, request: &Pending) -> Vec<ServerId> {
         let (mut lowest, mut fit) = (LADDER, Vec::new());
         for at in 0..self.ready.len() {
             let server = self.ready[at];
-            let rung = self.rung(now, stay, request, self.server(server));
+            let rung = self.rung(now, request, self.server(server));
             if rung > lowest || rung == LADDER || !self.may_get(now, request, server) {
                 continue;
             }
@@ -435,16 +455,14 @@
         fit
     }
 
-    fn rung(&self, now: Time, stay: bool, request: &Pending, server: &Server) -> u8 {
+    fn rung(&self, now: Time, request: &Pending, server: &Server) -> u8 {
         let set_aside = server.aside_until.is_some_and(|until| now < until);
         let hot = server.hot_until.is_some_and(|until| now < until);
-        let stay = stay && self.settings.prices.cross_zone > 0.0;
-        let far = stay && server.listing.zone != self.settings.zone;
         match () {
             () if hot && server.swamped => LADDER,
-            () if set_aside => 5,
-            () if request.tried.contains(&server.listing.server) => 4,
-            () => 2 * u8::from(hot) + u8::from(far),
+            () if set_aside => 3,
+            () if request.tried.contains(&server.listing.server) => 2,
+            () => u8::from(hot),
         }
     }
 
@@ -586,7 +604,7 @@
             let not_before = now + wait.scale(0.5 + self.rng.random::<f64>());
             self.requests.get_mut(&id).expect("just seen").not_before = not_before;
         }
-        self.place(now, id, actions);
+        _ = self.place(now, id, actions);
     }
 
     // ---- Held requests and the final answer -----------------------------------------------
@@ -604,6 +622,8 @@
     /// Tries held requests again; those held for long are refused while the client still has time
     /// to go elsewhere.
     fn try_held(&mut self, now: Time, actions: &mut Vec<Action>) {
+        // Once one finds no server, the others find none either: many are held on the worst days.
+        let mut room = true;
         for id in std::mem::take(&mut self.held) {
             let Some(request) = self.requests.get(&id).filter(|r| !r.over && r.out.is_none()) else {
                 continue;
@@ -611,8 +631,10 @@
             let whole = request.deadline.since(request.arrived);
             if now >= request.arrived + whole.scale(HOLD) {
                 self.answer_unserved(id, actions);
+            } else if room {
+                room = self.place(now, id, actions);
             } else {
-                self.place(now, id, actions);
+                self.hold(now, id, actions);
             }
         }
     }
@@ -701,18 +723,15 @@
             return;
         }
         self.reckoned = Some(now);
-        let mut zones: BTreeMap<ZoneId, [u32; 3]> = self.zones.keys().map(|&zone| (zone, [0; 3])).collect();
+        let mut zones: BTreeMap<ZoneId, [u32; 2]> = self.zones.keys().map(|&zone| (zone, [0; 2])).collect();
         for server in self.requests.values().filter_map(|p| p.out.as_ref()).map(|out| self.server(out.server))
         {
-            if let Some([open, settled, hot]) = zones.get_mut(&server.listing.zone) {
+            if let Some([open, settled]) = zones.get_mut(&server.listing.zone) {
                 *open += 1;
                 *settled += u32::from(!self.is_new(now, server.listing.server));
-                *hot += u32::from(server.hot_until.is_some_and(|until| now < until));
             }
         }
-        let [open, _, hot] = zones.get(&self.settings.zone).copied().unwrap_or_default();
-        self.near_hot = f64::from(hot) / f64::from(open.max(1));
-        for (zone, [open, settled_open, _]) in zones {
+        for (zone, [open, settled_open]) in zones {
             let Zone { ready: all, settled } = self.zones[&zone];
             let mean = |open: u32, n: u32| f64::from(open) / f64::from(n.max(1));
             let mean = mean(open, all).max(mean(settled_open, settled));
