Leave silent servers after a second, and servers that drop connections for a while

Checked with traces of counts, message times and outcomes by server: messages come back in 0 ms at the slow server too, so no note of slow messages ever names it; set-ups there succeed, in 300 to 500 ms, and each one cleared its failures. Ruled out: discovery (the server stays listed as serving), our own moves (the outcome is Reset, told by the session), silence (no message of its waited). At fault: brain.rs, judge(), which took nothing from a standing connection's Reset, while its count fell and made it win every draw; engine.rs, SILENT, which looks at each connection alone for 4.3 s.

Now drops of two connections within 2 s make a server hot for 2.4 s, doubling up to 12 s while it goes on. The engine tells the module of a server of which two connections have waited a second while it said nothing on any (not after a stall of our own, not for QUIC, where not each datagram has an answer); the module moves all it has there and tries it again with one connection until that is answered.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -74,6 +74,16 @@
 const HOT_NOTES: f64 = 1.5;
 /// Part of a relay's connections to a swamped server that each note moves off it.
 const MOVE_PART: f64 = 0.1;
+/// Connections that a server must drop within [`DROPS_WITHIN`] to count as shedding: one alone may be the
+/// network's doing.
+const SHEDDING: f64 = 2.0;
+/// See [`SHEDDING`].
+const DROPS_WITHIN: Span = Span::from_micros(2_000_000);
+/// First time for which a server that sheds is hot, as a part of the warm-up time; doubles with each
+/// time that it sheds again...
+const SHED_FIRST: f64 = 0.1;
+/// ...up to this part, and begins anew when it has not for the warm-up time.
+const SHED_LONGEST: f64 = 0.5;
 /// After it was last swamped, a server is paced for this multiple of the warm-up time...
 const RECOVERING: f64 = 1.0;
 /// ...at this part of the pace at which connections were moved off it.
@@ -98,6 +108,14 @@
     /// Whether they take longer than clients want to wait, and when they last did.
     swamped: bool,
     swamped_at: Option<Time>,
+    /// Connections that it has dropped lately, as of when; how often it has shed in a row, and until when
+    /// it is hot for that.
+    drops: f64,
+    dropped: Time,
+    sheds: u32,
+    shed_until: Option<Time>,
+    /// It went silent, and has not answered a message since: it gets one connection to show itself.
+    suspect: bool,
 }
 
 /// An attempt or a connection that is out and not yet ended.
@@ -222,6 +240,7 @@
             Event::ClientLeft { id } => self.finish(id),
             Event::Timer(token) => self.on_timer(now, token, actions),
             Event::SlowMessages { server, takes } => self.on_slow_messages(now, server, takes, actions),
+            Event::Silent { server } => self.on_silent(now, server, actions),
             Event::LoadChanged { id, load } => self.on_load(id, load),
             Event::Probed { .. } | Event::Mail { .. } => {}
         }
@@ -286,7 +305,7 @@
         }
         if fresh {
             // A new start time: whatever held against the old process is void, and it is cold.
-            (server.fails, server.aside_until) = (0, None);
+            (server.fails, server.aside_until, server.suspect, server.shed_until) = (0, None, false, None);
             (server.born, server.allowance, server.reckoned) = (server.listing.started, phase, now);
         }
     }
@@ -456,13 +475,15 @@
     }
 
     fn rung(&self, now: Time, request: &Pending, server: &Server) -> u8 {
-        let set_aside = server.aside_until.is_some_and(|until| now < until);
+        let on_trial = server.suspect && server.open > 0;
+        let set_aside = on_trial || server.aside_until.is_some_and(|until| now < until);
         let hot = server.hot_until.is_some_and(|until| now < until);
+        let sheds = server.shed_until.is_some_and(|until| now < until);
         match () {
             () if hot && server.swamped => LADDER,
             () if set_aside => 3,
             () if request.tried.contains(&server.listing.server) => 2,
-            () => u8::from(hot),
+            () => u8::from(hot || sheds),
         }
     }
 
@@ -752,7 +773,7 @@
     fn judge(&mut self, now: Time, id: ServerId, outcome: Outcome, established: bool) {
         match outcome {
             Outcome::Ok => self.server_did_well(id),
-            Outcome::Reset if established => {}
+            Outcome::Reset if established => self.on_drop(now, id),
             Outcome::ConnectError => self.on_fail(now, id, FAILS_TO_SET_ASIDE),
             Outcome::Failed | Outcome::Reset | Outcome::QueueFull => self.on_fail(now, id, 1),
             // Slow everywhere is no server's fault.
@@ -779,9 +800,44 @@
 
     fn server_did_well(&mut self, id: ServerId) {
         let server = self.server_mut(id);
+        // Taking a connection up is not yet serving it.
+        if server.suspect {
+            return;
+        }
         (server.fails, server.aside_until) = (0, None);
     }
 
+    /// A server that drops standing connections has more than it can hold, however few of them are this
+    /// relay's own; and those it dropped make its count the lowest, so that it would be chosen first and
+    /// drop them again. It is hot for a while, each time for longer, and comes back at a pace.
+    fn on_drop(&mut self, now: Time, id: ServerId) {
+        let warm_within = self.settings.warm_within;
+        let jitter = 0.75 + 0.5 * self.rng.random::<f64>();
+        let server = self.server_mut(id);
+        let passed = now.since(server.dropped).as_secs() / DROPS_WITHIN.as_secs();
+        (server.drops, server.dropped) = ((server.drops - SHEDDING * passed).max(0.0) + 1.0, now);
+        if server.drops < SHEDDING || server.shed_until.is_some_and(|until| now < until) {
+            return;
+        }
+        let again = server.shed_until.is_some_and(|until| now.since(until) < warm_within);
+        server.sheds = if again { (server.sheds + 1).min(8) } else { 0 };
+        let wait = warm_within.scale((SHED_FIRST * f64::from(1 << server.sheds)).min(SHED_LONGEST));
+        server.shed_until = Some(now + wait.scale(jitter));
+    }
+
+    /// A silent server serves nobody: all that this relay has there are sent away at once, and it is set
+    /// aside, each time for longer, then tried with one connection until that is answered.
+    fn on_silent(&mut self, now: Time, id: ServerId, actions: &mut Vec<Action>) {
+        if !self.known(id) {
+            return;
+        }
+        self.on_fail(now, id, FAILS_TO_SET_ASIDE);
+        self.server_mut(id).suspect = true;
+        let here = |p: &Pending| p.out.as_ref().is_some_and(|out| out.established && out.server == id);
+        let here = self.requests.iter().filter(|(_, p)| here(p));
+        actions.extend(here.map(|(&id, _)| Action::Move { id }));
+    }
+
     /// A server whose messages take long has more work than it can do, whatever this relay's own
     /// count says: it is left out of the draw until word comes that it is back, or none comes.
     fn on_slow_messages(&mut self, now: Time, id: ServerId, takes: Span, actions: &mut Vec<Action>) {
@@ -792,6 +848,7 @@
         let hot = takes >= aims.scale(HOT_MESSAGES);
         let until = now + NOTE_EVERY.scale(HOT_NOTES + self.rng.random::<f64>());
         let server = self.server_mut(id);
+        server.suspect &= hot;
         (server.hot_until, server.swamped) = (hot.then_some(until), takes >= aims.scale(SWAMPED));
         if self.server(id).swamped {
             let phase = self.rng.random::<f64>();
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -18,6 +18,11 @@
 /// A connection whose oldest message has waited this long for the server is moved: the protocol
 /// allows 7 s from the last line returned, and clients send one every 2 s.
 const SILENT: Span = Span::from_micros(4_300_000);
+/// A server is silent when connections of it wait this long for answers that are due at once and it
+/// has said nothing on any meanwhile: sound ones answer a line in a millisecond, also when overrun.
+const HUSHED: Span = Span::from_micros(1_000_000);
+/// Connections that must wait for that; one alone waits twice as long.
+const HUSHED_WAITING: u32 = 2;
 /// How often standing connections are looked over for silence, and servers for slow messages.
 const SWEEP: Span = Span::from_micros(250_000);
 /// How often the module hears of a server whose messages are slow.
@@ -103,8 +108,9 @@
     sent: Time,
     timeout: Option<Key>,
     established: bool,
-    /// When the oldest message that the server has not answered was passed on.
-    asked: Option<Time>,
+    /// When the oldest message that the server has not answered was passed on, and whether its
+    /// answer is due at once.
+    asked: Option<(Time, bool)>,
 }
 
 #[derive(Default)]
@@ -121,6 +127,17 @@
     took: Option<Span>,
     noted: Option<Time>,
     slow: bool,
+    /// When it last said anything on any connection.
+    heard: Option<Time>,
+}
+
+/// What waits for answers of one server.
+#[derive(Default)]
+struct Waits {
+    longest: Span,
+    /// Of answers that are due at once: how many, and the one asked for longest ago.
+    prompt: u32,
+    since: Option<Time>,
 }
 
 /// The core of one gateway.
@@ -134,6 +151,8 @@
     anchor: (Time, Instant),
     /// The latest time told.
     told: Time,
+    /// When the standing connections are next to be looked over.
+    next_sweep: Time,
     /// Set while leaving: connections that come up are moved at this time.
     leaving: Option<Time>,
     inbox: VecDeque<Event>,
@@ -156,6 +175,7 @@
             slow_from,
             anchor,
             told: anchor.0,
+            next_sweep: anchor.0 + SWEEP,
             leaving: None,
             inbox: VecDeque::new(),
         };
@@ -240,8 +260,9 @@
     pub fn established(&mut self, now: Time, id: RequestId, attempt: u32, out: &mut Vec<Effect>) {
         let Some(open) = self.out(id, attempt).filter(|open| !open.established) else { return };
         open.established = true;
-        let (sent, timeout) = (open.sent, open.timeout.take());
+        let (sent, timeout, server) = (open.sent, open.timeout.take(), open.server);
         self.cancel(timeout);
+        self.pulses.entry(server).or_default().heard = Some(now);
         self.run(now, Event::Established { id, attempt, after: now.since(sent) }, out);
         if let Some(at) = self.leaving {
             self.schedule(at, Due::Move(id));
@@ -272,19 +293,20 @@
         self.drain(now, out);
     }
 
-    /// A message of the client was passed on to the server.
-    pub fn asked(&mut self, now: Time, id: RequestId) {
+    /// A message of the client was passed on to the server; `prompt`, where its answer is due at once.
+    pub fn asked(&mut self, now: Time, id: RequestId, prompt: bool) {
         if let Some(open) = self.records.get_mut(&id).and_then(|r| r.out.as_mut()) {
-            open.asked.get_or_insert(now);
+            open.asked.get_or_insert((now, prompt));
         }
     }
 
     /// The server has sent something on the connection.
     pub fn answered(&mut self, now: Time, id: RequestId) {
         let Some(open) = self.records.get_mut(&id).and_then(|r| r.out.as_mut()) else { return };
-        if let Some(asked) = open.asked.take() {
+        let pulse = self.pulses.entry(open.server).or_default();
+        pulse.heard = Some(now);
+        if let Some((asked, _)) = open.asked.take() {
             let took = now.since(asked);
-            let pulse = self.pulses.entry(open.server).or_default();
             pulse.took = Some(pulse.took.map_or(took, |before| before.min(took)));
         }
     }
@@ -339,14 +361,21 @@
     /// Moves connections whose server has gone silent, and tells the module of slow servers as the
     /// simulator does: once a second while they are slow, and once more when they are not.
     fn sweep(&mut self, now: Time, out: &mut Vec<Effect>) {
+        // After a stall of this process answers may lie in sockets unread: judge nobody for them.
+        let late = now.since(self.next_sweep) >= SWEEP;
+        self.next_sweep = now + SWEEP;
         self.schedule(now + SWEEP, Due::Sweep);
-        let mut waits: BTreeMap<ServerId, Span> = BTreeMap::new();
+        let mut waits: BTreeMap<ServerId, Waits> = BTreeMap::new();
         let mut silent = Vec::new();
         for (id, open) in self.standing() {
-            let Some(asked) = open.asked else { continue };
+            let Some((asked, prompt)) = open.asked else { continue };
             let waited = now.since(asked);
-            let longest = waits.entry(open.server).or_default();
-            *longest = waited.max(*longest);
+            let here = waits.entry(open.server).or_default();
+            here.longest = waited.max(here.longest);
+            if prompt {
+                here.prompt += u32::from(waited >= HUSHED);
+                here.since = Some(here.since.map_or(asked, |since| since.min(asked)));
+            }
             if waited >= SILENT {
                 silent.push(id);
             }
@@ -357,7 +386,7 @@
                 continue;
             }
             // A message still out says more than the last that came back.
-            let waited = waits.get(&server).copied().unwrap_or_default();
+            let waited = waits.get(&server).map_or(Span::ZERO, |here| here.longest);
             let Some(takes) = pulse.took.take().or((waited > Span::ZERO).then_some(waited)) else {
                 continue;
             };
@@ -368,6 +397,14 @@
                 self.inbox.push_back(Event::SlowMessages { server, takes });
             }
         }
+        for (&server, here) in &waits {
+            let Some(since) = here.since.filter(|_| !late) else { continue };
+            let enough = here.prompt >= HUSHED_WAITING || now.since(since) >= HUSHED + HUSHED;
+            let hushed = self.pulses.get(&server).is_none_or(|p| p.heard.is_none_or(|heard| heard <= since));
+            if here.prompt > 0 && enough && hushed {
+                self.inbox.push_back(Event::Silent { server });
+            }
+        }
         for id in silent {
             self.send_away(id, Outcome::Reset, out);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -50,6 +50,13 @@
     }
 }
 
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
 impl Add<Span> for Time {
     type Output = Time;
     fn add(self, span: Span) -> Time {
@@ -402,6 +409,11 @@
         /// How long a message takes there.
         takes: Span,
     },
+    /// A server has said nothing for long on any of this relay's connections, though answers were due.
+    Silent {
+        /// The server.
+        server: ServerId,
+    },
     /// A connection's load has changed.
     LoadChanged {
         /// Which request.
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -85,8 +85,8 @@
     Ended(RequestId, u32, Outcome),
     /// The client has gone.
     Left(RequestId),
-    /// A message was passed to the server.
-    Asked(RequestId),
+    /// A message was passed to the server; and whether its answer is due at once.
+    Asked(RequestId, bool),
     /// The server sent something.
     Answered(RequestId),
     /// The connection's load now, in seconds of work a second.
@@ -265,7 +265,7 @@
                 self.engine.client_left(now, id, out);
                 self.ports.remove(&id);
             }
-            Report::Asked(id) => self.engine.asked(now, id),
+            Report::Asked(id, prompt) => self.engine.asked(now, id, prompt),
             Report::Answered(id) => self.engine.answered(now, id),
             Report::Load(id, load) => self.engine.load(now, id, load, out),
             Report::News(news) => {
--- a/src/net/quic.rs
+++ b/src/net/quic.rs
@@ -356,7 +356,8 @@
             self.send(id, from, datagram).await;
         }
         if asks {
-            self.core.tell(Report::Asked(id)).await;
+            // Not every datagram has an answer of its own.
+            self.core.tell(Report::Asked(id, false)).await;
         }
     }
 
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -383,7 +383,7 @@
                         break End::Server(side.end());
                     }
                     if to_server.is_empty() {
-                        self.front.core.tell(Report::Asked(id)).await;
+                        self.front.core.tell(Report::Asked(id, true)).await;
                     }
                 }
                 line = server.lines.next(), if to_client.is_empty() && !last => match line {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -172,7 +172,7 @@
                             world.engine.client_left(world.now, id, &mut world.effects);
                             world.check();
                         }
-                        9 => world.engine.asked(world.now, id),
+                        9 => world.engine.asked(world.now, id, true),
                         10 => world.engine.answered(world.now, id),
                         _ => world.pass(50).await,
                     }
@@ -199,9 +199,9 @@
         let (silent, sound) = (world.request(), world.request());
         world.up(silent);
         world.up(sound);
-        world.engine.asked(world.now, silent);
+        world.engine.asked(world.now, silent, false);
         for _ in 0..25 {
-            world.engine.asked(world.now, sound);
+            world.engine.asked(world.now, sound, true);
             world.pass(20).await;
             world.engine.answered(world.now, sound);
             world.pass(180).await;
@@ -211,6 +211,36 @@
     });
 }
 
+#[test]
+fn a_silent_server_is_left_by_all_at_once_unless_answers_are_not_due() {
+    for prompt in [true, false] {
+        with_time(async {
+            let mut world = World::new();
+            let ids: Vec<RequestId> = (0..40).map(|_| world.request()).collect();
+            ids.iter().for_each(|&id| world.up(id));
+            world.pass(100).await;
+            let silent = ServerId(0);
+            let (there, others): (Vec<RequestId>, _) =
+                ids.into_iter().partition(|&id| world.engine.server_of(id) == Some(silent));
+            assert!(there.len() > 2 && others.len() > 2);
+            // Only two ask; those who do not would wait for their answers just as long. (Not the first two:
+            // slow messages let a few go before.)
+            there.iter().rev().take(2).for_each(|&id| world.engine.asked(world.now, id, prompt));
+            for &id in &others {
+                world.engine.asked(world.now, id, true);
+                world.engine.answered(world.now, id);
+            }
+            world.pass(1300).await;
+            world.moved.sort_unstable();
+            if prompt {
+                assert_eq!(world.moved, there);
+            } else {
+                assert!(world.moved.len() < there.len() / 2, "{:?}", world.moved);
+            }
+        });
+    }
+}
+
 #[test]
 fn late_news_of_an_attempt_that_was_given_up_changes_nothing() {
     with_time(async {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -366,6 +366,48 @@
     assert!((200..230).all(|id| relay.request(2.0, id).is_some_and(|server| server.0 > 0)));
 }
 
+#[test]
+fn a_server_that_drops_connections_does_not_get_them_all_back() {
+    let mut relay = filled(settings(Effect::Safe), 3, 8, 1.0);
+    let there = |number: u32| 100_000 + 3 * number;
+    // One alone may be the network's doing.
+    relay.ended(2.0, there(0), 0, Outcome::Reset);
+    assert!((50..60).any(|id| relay.request(2.0, id) == Some(ServerId(0))));
+    (1..8).for_each(|number| _ = relay.ended(2.1, there(number), 0, Outcome::Reset));
+    // Its count is the lowest now, and every draw would be won by it.
+    assert!((100..110).all(|id| relay.request(2.2, id).is_some_and(|server| server.0 > 0)));
+    // It comes back, and is left out for longer when it drops them again.
+    let back: Vec<u32> = (200..220).filter(|&id| relay.request(4.5, id) == Some(ServerId(0))).collect();
+    assert!(back.len() > 4, "{back:?}");
+    for &id in &back {
+        relay.established(4.5, id, 0);
+        relay.ended(4.6, id, 0, Outcome::Reset);
+    }
+    assert!((300..310).all(|id| relay.request(5.8, id).is_some_and(|server| server.0 > 0)));
+}
+
+#[test]
+fn a_silent_server_is_emptied_and_tried_with_one_connection_until_it_answers() {
+    let mut relay = filled(settings(Effect::Safe), 2, 5, 1.0);
+    let silent = ServerId(0);
+    let there = relay.module.open_connections(silent);
+    let moved = relay.event(2.0, Event::Silent { server: silent });
+    let moves = moved.iter().filter(|action| matches!(action, Action::Move { .. })).count();
+    assert_eq!(moves, there as usize, "all that were there");
+    for action in moved {
+        if let Action::Move { id } = action {
+            relay.ended(2.0, id.0, 0, Outcome::Cancelled);
+        }
+    }
+    assert!((100..120).all(|id| relay.request(2.1, id) == Some(ServerId(1))), "set aside");
+    let tried: Vec<u32> = (200..220).filter(|&id| relay.request(4.0, id) == Some(silent)).collect();
+    assert_eq!(tried.len(), 1, "one connection shows whether it is back");
+    relay.established(4.0, tried[0], 0);
+    assert!((300..320).all(|id| relay.request(4.1, id) == Some(ServerId(1))), "up is not yet served");
+    relay.event(5.0, slow(0, 0));
+    assert!((400..420).any(|id| relay.request(5.1, id) == Some(silent)), "a message was answered");
+}
+
 #[test]
 fn an_unsafe_request_that_may_have_run_fails_and_is_not_tried_again() {
     for (outcome, may_run) in
