--- a/src/engine.rs
+++ b/src/engine.rs
@@ -33,6 +33,9 @@
 const DRAINED_OVER: Span = Span::from_micros(8_000_000);
 /// Connections of a server that is gone from the list are moved within this time.
 const GONE_OVER: Span = Span::from_micros(1_000_000);
+/// A process that leaves keeps its connections for this part of the time it has to move them: they are
+/// served meanwhile, and where others restart in turn, the one before is back.
+const LEAVE_FROM: f64 = 0.4;
 /// Longest wait that the wheel is asked for.
 const LONGEST: Span = Span::from_micros(86_400_000_000);
 
@@ -321,11 +324,12 @@
         self.run(now, Event::Probed { server, ok, report: None }, out);
     }
 
-    /// This process leaves: every standing connection is moved, spread over `over`, those that come
-    /// up later at its end; after `last` no request stays unanswered.
+    /// This process leaves: every standing connection is moved, spread over the later part of `over`,
+    /// those that come up later at its end; after `last` no request stays unanswered.
     pub fn leave(&mut self, now: Time, over: Span, last: Span) {
         let standing: Vec<RequestId> = self.standing().map(|(id, _)| id).collect();
-        self.pace_moves(now, over, &standing);
+        let kept = over.scale(LEAVE_FROM);
+        self.pace_moves(now + kept, over.scale(1.0 - LEAVE_FROM), &standing);
         self.leaving = Some(now + over);
         self.schedule(now + last, Due::Leave);
     }
@@ -416,10 +420,11 @@
         })
     }
 
-    fn pace_moves(&mut self, now: Time, over: Span, ids: &[RequestId]) {
+    /// Moves these one after the other, over this time from then on.
+    fn pace_moves(&mut self, from: Time, over: Span, ids: &[RequestId]) {
         for (at, &id) in ids.iter().enumerate() {
             let wait = over.scale((at + 1) as f64 / ids.len() as f64);
-            self.schedule(now + wait, Due::Move(id));
+            self.schedule(from + wait, Due::Move(id));
         }
     }
 
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -264,7 +264,9 @@
         let ids: Vec<RequestId> = (0..6).map(|_| world.request()).collect();
         ids[..5].iter().for_each(|&id| world.up(id));
         world.engine.leave(world.now, micros(500), micros(800));
-        world.pass(300).await;
+        world.pass(150).await;
+        assert_eq!(world.moved, [], "served for as long as there is time");
+        world.pass(200).await;
         let early = world.moved.len();
         assert!((1..5).contains(&early), "paced, not at once: {early}");
         world.pass(600).await;
