--- a/src/brain.rs
+++ b/src/brain.rs
@@ -74,9 +74,9 @@
 const HOT_NOTES: f64 = 1.5;
 /// Part of a relay's connections to a swamped server that each note moves off it.
 const MOVE_PART: f64 = 0.1;
-/// Connections that a server must drop within [`DROPS_WITHIN`] to count as shedding: one alone may be the
+/// Connections that a server must drop within [`DROPS_WITHIN`] to count as shedding: fewer may be the
 /// network's doing.
-const SHEDDING: f64 = 2.0;
+const SHEDDING: f64 = 3.0;
 /// See [`SHEDDING`].
 const DROPS_WITHIN: Span = Span::from_micros(2_000_000);
 /// First time for which a server that sheds is hot, as a part of the warm-up time; doubles with each
