--- a/src/brain.rs
+++ b/src/brain.rs
@@ -152,14 +152,6 @@
     settled: u32,
 }
 
-/// What a draw is among.
-#[derive(Clone, Copy, PartialEq)]
-enum Pool {
-    New,
-    Near,
-    Ready,
-}
-
 /// What a timer is for; packed into its token.
 enum Alarm {
     Request(RequestId),
@@ -188,8 +180,6 @@
     zones: BTreeMap<ZoneId, Zone>,
     recounted: Time,
     new: Vec<ServerId>,
-    /// Those of the own zone.
-    near: Vec<ServerId>,
     /// How many connections of a group this relay holds on a server.
     groups: BTreeMap<(GroupId, ServerId), u32>,
     list_fails: u32,
@@ -214,7 +204,6 @@
             zones: BTreeMap::new(),
             recounted: Time::default(),
             new: Vec::new(),
-            near: Vec::new(),
             groups: BTreeMap::new(),
             list_fails: 0,
             started: false,
@@ -279,8 +268,6 @@
         let ready = listed.filter(|s| s.listing.state == ServerState::Ready);
         self.ready = ready.map(|s| s.listing.server).collect();
         self.new = self.ready.iter().copied().filter(|&s| self.is_new(now, s)).collect();
-        let near = |&id: &ServerId| self.server(id).listing.zone == self.settings.zone;
-        self.near = self.ready.iter().copied().filter(near).collect();
         self.zones.clear();
         for &id in &self.ready {
             let new = self.is_new(now, id);
@@ -385,16 +372,13 @@
     /// The ordinary path: of two fit servers drawn at random with replacement, the one with
     /// fewest of this relay's own open connections; the first drawn wins a tie. While new servers have
     /// an allowance left, the first draw is among them: in a large fleet a relay would seldom draw
-    /// them otherwise, and they would idle while the old ones are overrun. Else it is among those of
-    /// the own zone, and the second among all: few near servers are not filled while far ones idle.
+    /// them otherwise, and they would idle while the old ones are overrun. No draw keeps to the own
+    /// zone: where that has one server, it would get two thirds of all that comes, however full it is.
     fn choose(&mut self, now: Time, request: &Pending) -> Option<ServerId> {
         self.reckon_usual(now);
         let home = self.home(now, request);
-        let first = home
-            .or_else(|| self.draw(now, request, Pool::New))
-            .or_else(|| self.draw(now, request, Pool::Near))
-            .or_else(|| self.draw(now, request, Pool::Ready));
-        let (first, second) = match (first, self.draw(now, request, Pool::Ready)) {
+        let first = home.or_else(|| self.draw(now, request, true)).or_else(|| self.draw(now, request, false));
+        let (first, second) = match (first, self.draw(now, request, false)) {
             (Some(first), Some(second)) => (first, second),
             (first, _) => {
                 let fit = self.fit(now, request);
@@ -406,21 +390,17 @@
         Some(if keep * self.burden(second) < self.burden(first) { second } else { first })
     }
 
-    /// Draws among the ready servers, or the new or near ones of them, until one is on the lowest rung. A few
+    /// Draws among the ready servers, or the new ones of them, until one is on the lowest rung. A few
     /// draws find one unless few are; only then is the whole list worth the time to walk.
-    fn draw(&mut self, now: Time, request: &Pending, from: Pool) -> Option<ServerId> {
+    fn draw(&mut self, now: Time, request: &Pending, new: bool) -> Option<ServerId> {
         for _ in 0..QUICK_DRAWS {
-            let pool = match from {
-                Pool::New => &self.new,
-                Pool::Near => &self.near,
-                Pool::Ready => &self.ready,
-            };
+            let pool = if new { &self.new } else { &self.ready };
             if pool.is_empty() {
                 return None;
             }
             let server = pool[self.rng.random_range(0..pool.len())];
             if self.rung(now, request, self.server(server)) == 0
-                && (from != Pool::New || self.is_new(now, server))
+                && (!new || self.is_new(now, server))
                 && self.may_get(now, request, server)
                 && self.allows(now, server)
             {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -361,9 +361,24 @@
     // As no sign on the sockets tells that the one near server is overrun, its count has to.
     let most_far = counts[1..].iter().max().copied().unwrap_or_default();
     assert!((most_far..most_far * 2).contains(&counts[0]), "{counts:?}");
+    // It gets less than an emptier far server, also where others are full.
+    let far = |number| Listing { state: ServerState::Gone, ..far(number) };
+    relay.list(1.5, ListNews::Changes, vec![far(1), far(2)]);
+    for id in 0..200 {
+        relay.ended(1.6, id, 0, Outcome::Ok);
+    }
+    for (server, count) in [(0, 15), (3, 5), (4, 25)] {
+        for id in 0..count {
+            let request = request(1000 * (server + 1) + id);
+            relay.event(1.7, Event::Existing { request, server: ServerId(server) });
+        }
+    }
+    let placed = (200..224).filter_map(|id| relay.request(1.8, id));
+    let near = placed.filter(|&server| server == ServerId(0)).count();
+    assert!(near < 10, "{near} of 24");
     // Kept out by being hot, it is left altogether.
     relay.event(2.0, slow(0, 40));
-    assert!((200..230).all(|id| relay.request(2.0, id).is_some_and(|server| server.0 > 0)));
+    assert!((300..330).all(|id| relay.request(2.0, id).is_some_and(|server| server.0 > 0)));
 }
 
 #[test]
