--- a/src/brain.rs
+++ b/src/brain.rs
@@ -240,6 +240,11 @@
         if self.known(server) { self.server(server).open } else { 0 }
     }
 
+    /// Whether a ready server gets nothing while others are fit.
+    pub fn avoids(&self, now: Time, server: ServerId) -> bool {
+        self.known(server) && self.rung(now, &Pending::default(), self.server(server)) > 0
+    }
+
     // ---- The list -------------------------------------------------------------------------
 
     fn on_list(&mut self, now: Time, news: ListNews, entries: Vec<Listing>, actions: &mut Vec<Action>) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -47,6 +47,10 @@
 /// Descriptors kept for what is neither a client nor its server: the runtime and standard streams,
 /// listeners, discovery, probes, and what is closed a moment later than it is counted.
 const KEPT_SOCKETS: usize = 32;
+/// Callers whom the operators' door has inside at most.
+pub const DOOR_CALLERS: usize = 12;
+/// Descriptors of the door: its callers, its listener and its runtime.
+const DOOR_SOCKETS: usize = DOOR_CALLERS + 4;
 /// Clients without a session that always find room.
 const WAITING: usize = 52;
 /// What a pair of sockets may hold in memory, at most: a line each way and the bookkeeping.
@@ -102,6 +106,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call, if they may.
+    pub operator: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// What it may use.
@@ -117,7 +123,8 @@
 }
 
 /// Keys of the file that take effect at a start only. `seed` and `known` are of a start by nature.
-const AT_START: [&str; 7] = ["name", "listen", "limits", "settings", "peer_listen", "peers", "peers_all"];
+const AT_START: [&str; 8] =
+    ["name", "listen", "operator", "limits", "settings", "peer_listen", "peers", "peers_all"];
 
 /// The configuration that runs, as a reload needs it.
 #[derive(Debug, Clone, Default)]
@@ -128,6 +135,13 @@
     fixed: Vec<Value>,
 }
 
+impl Config {
+    /// The room for clients beside `others` sockets and the door's.
+    pub fn room(&self, others: usize) -> Room {
+        self.limits.room(others + self.operator.map_or(0, |_| DOOR_SOCKETS))
+    }
+}
+
 /// What a reload brings.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reloaded {
@@ -221,6 +235,10 @@
         let (_, name) = told("ROUTER_NAME", "name")?;
         let listen = address(told("ROUTER_LISTEN", "listen")?)?;
         let discovery = address(told("ROUTER_DISCOVERY", "discovery")?)?;
+        let operator = match told("ROUTER_OPERATOR", "operator") {
+            Err(ConfigError::Missing(_)) => None,
+            given => Some(address(given?)?),
+        };
         let seed = match &json["seed"] {
             Value::Null => 0,
             Value::String(hex) => u64::from_str_radix(hex, 16).map_err(|e| bad("seed", e))?,
@@ -241,7 +259,7 @@
         facts.settings(&facts.names()).map_err(|e| bad("settings", e))?;
         let longest = u64::try_from(facts.longest_deadline().as_micros()).unwrap_or_default();
         let grace = Duration::from_micros(longest).min(LONGEST_GRACE) + GRACE_ADDED;
-        Ok(Self { name, listen, discovery, seed, limits, known, facts, grace, standing })
+        Ok(Self { name, listen, discovery, operator, seed, limits, known, facts, grace, standing })
     }
 }
 
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -215,6 +215,16 @@
         self.module.open_connections(server)
     }
 
+    /// How many servers on the list get nothing new for now, by the list's word or the module's.
+    pub fn avoided(&self, now: Time) -> usize {
+        let avoided = |(&server, pulse): (&ServerId, &Pulse)| match pulse.state {
+            ServerState::Ready => self.module.avoids(now, server),
+            ServerState::Draining => true,
+            ServerState::Gone => false,
+        };
+        self.pulses.iter().filter(|&it| avoided(it)).count()
+    }
+
     /// News of the server list.
     pub fn list(&mut self, now: Time, news: ListNews, entries: Vec<Listing>, out: &mut Vec<Effect>) {
         let before: BTreeMap<ServerId, ServerState> =
--- /dev/null
+++ b/src/figures.rs
@@ -0,0 +1,102 @@
+//! The figures that operators fetch: their names, their counts and their text.
+//!
+//! Sessions raise counts where the thing happens and the core sets the gauges; whoever renders them
+//! asks nobody and waits for nobody.
+
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// What all names begin with.
+const PREFIX: &str = "router";
+/// The label that names a class.
+const CLASS: &str = "category";
+/// The line that ends the text.
+pub const END: &str = "EOF\n";
+
+/// What is counted by class, from 0 at the start of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Count {
+    /// Connections brought up: `UP` has been written to the client.
+    Passed,
+    /// Connections refused.
+    Dropped,
+    /// Connections failed.
+    BadGateway,
+    /// Attempts written whole to a server.
+    Tries,
+}
+
+/// Every count, with its name.
+const COUNTS: [(Count, &str); 4] = [
+    (Count::Passed, "passed_total"),
+    (Count::Dropped, "dropped_total"),
+    (Count::BadGateway, "bad_gateway_total"),
+    (Count::Tries, "upstream_tries_total"),
+];
+
+/// What is so now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Gauge {
+    /// Connections taken and not yet ended.
+    InProgress,
+    /// Servers on the list.
+    Known,
+    /// Servers on the list that are avoided, by hand or by choice.
+    Skipped,
+}
+
+/// Every gauge, with its name.
+const GAUGES: [(Gauge, &str); 3] = [
+    (Gauge::InProgress, "in_progress"),
+    (Gauge::Known, "known_reading_servers"),
+    (Gauge::Skipped, "skipped_reading_servers"),
+];
+
+/// The figures of one process.
+#[derive(Debug, Default)]
+pub struct Figures {
+    classes: Vec<(String, [AtomicU64; COUNTS.len()])>,
+    gauges: [AtomicU64; GAUGES.len()],
+}
+
+impl Figures {
+    /// Figures for these classes, all at 0.
+    pub fn new(classes: &[String]) -> Self {
+        let classes = classes.iter().map(|class| (class.clone(), Default::default())).collect();
+        Self { classes, gauges: Default::default() }
+    }
+
+    /// Counts one. A class that the settings do not name has no count: names that clients make up
+    /// must not grow the text.
+    pub fn count(&self, count: Count, class: &str) {
+        if let Some((_, counts)) = self.classes.iter().find(|(name, _)| name == class) {
+            counts[count as usize].fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Sets what is so now.
+    pub fn set(&self, gauge: Gauge, value: usize) {
+        self.gauges[gauge as usize].store(value as u64, Ordering::Relaxed);
+    }
+
+    /// All figures, one a line, and the line that ends them.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for (count, name) in COUNTS {
+            for (class, counts) in &self.classes {
+                let value = counts[count as usize].load(Ordering::Relaxed);
+                let _ = writeln!(text, "{PREFIX}_{name}{{{CLASS}=\"{}\"}} {value}", label(class));
+            }
+        }
+        for (gauge, name) in GAUGES {
+            let value = self.gauges[gauge as usize].load(Ordering::Relaxed);
+            let _ = writeln!(text, "{PREFIX}_{name} {value}");
+        }
+        text + END
+    }
+}
+
+/// A label's value, with what would end it or the line escaped.
+fn label(value: &str) -> String {
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 
 use ashtide::config::{Config, Fronts};
 use ashtide::net::core::{Core, Report, duration};
-use ashtide::net::{discovery, listen, quic, reload, session, vrrp};
+use ashtide::net::{discovery, door, listen, quic, reload, session, vrrp};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
@@ -40,11 +40,15 @@
     let hangup = signal(SignalKind::hangup())?;
     // One call asked for while another runs: the queue's one place says so.
     let (subscribe, subscriptions) = mpsc::channel(1);
-    let (core, handle) = Core::new(&config, subscribe)?;
+    let (core, handle, office) = Core::new(&config, subscribe)?;
     let listener = listen::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
-    let room = config.limits.room(fronts.quic.as_ref().map_or(0, |quic| quic.paths));
+    let room = config.room(fronts.quic.as_ref().map_or(0, |quic| quic.paths));
     let listen = listener.local_addr()?;
     eprintln!("ashtide: {} listens on {listen}, at most {} clients", config.name, room.sessions);
+    if let Some(operator) = config.operator {
+        let at = door::open(operator, office).map_err(|e| format!("operator {operator}: {e}"))?;
+        eprintln!("operator: listens on {at}");
+    }
     let after = config.known.as_ref().map_or(0, |known| known.index);
     let (found, address) = watch::channel(config.discovery);
     tokio::spawn(discovery::follow(address, after, subscriptions, handle.clone()));
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -9,11 +9,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use super::door::{Health, Office};
 use super::log::Limited;
 use crate::config::Config;
 use crate::discovery::{News, Status};
-use crate::engine::{Answer, Effect, Engine};
+use crate::engine::{Answer, Due, Effect, Engine};
 use crate::facts::Names;
+use crate::figures::{Count, Figures, Gauge};
 use crate::interface::*;
 
 /// Reports that may wait for the core before fronts have to.
@@ -104,6 +106,7 @@
 /// What a front holds of the core.
 #[derive(Clone)]
 pub struct Handle {
+    figures: Arc<Figures>,
     reports: mpsc::Sender<Report>,
     ids: Arc<AtomicU32>,
 }
@@ -114,6 +117,11 @@
         RequestId(self.ids.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// Counts one of this class.
+    pub fn count(&self, count: Count, class: &str) {
+        self.figures.count(count, class);
+    }
+
     /// Tells the core; waits while it has much to do.
     pub async fn tell(&self, report: Report) {
         // The core only ends with the process.
@@ -136,6 +144,7 @@
     fleet: watch::Sender<BTreeMap<String, SocketAddr>>,
     connect_timeout: Duration,
     effects: Vec<Effect>,
+    health: Arc<Health>,
     /// No exit before the first; exit at the second whatever is left.
     leaving: Option<(Instant, Instant)>,
 }
@@ -164,13 +173,15 @@
     /// # Errors
     ///
     /// Fails where the settings cannot be used.
-    pub fn new(config: &Config, subscribe: mpsc::Sender<()>) -> Result<(Self, Handle), String> {
+    pub fn new(config: &Config, subscribe: mpsc::Sender<()>) -> Result<(Self, Handle, Office), String> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let anchor = (Time::default() + span(unix), Instant::now());
         let names = config.facts.names();
         let settings = config.facts.settings(&names)?;
         let (sender, reports) = mpsc::channel(QUEUE);
-        let handle = Handle { reports: sender, ids: Arc::new(AtomicU32::new(1)) };
+        let figures = Arc::new(Figures::new(names.classes.names()));
+        let office = Office::new(figures.clone());
+        let handle = Handle { figures, reports: sender, ids: Arc::new(AtomicU32::new(1)) };
         let core = Self {
             engine: Engine::new(settings, config.seed, anchor),
             names,
@@ -184,9 +195,10 @@
             fleet: watch::Sender::new(BTreeMap::new()),
             connect_timeout: duration(config.facts.connect_timeout()),
             effects: Vec::new(),
+            health: office.health.clone(),
             leaving: None,
         };
-        Ok((core, handle))
+        Ok((core, handle, office))
     }
 
     /// The servers on the list and their addresses, as they change.
@@ -213,6 +225,9 @@
                 due = self.engine.due() => {
                     let now = self.now();
                     self.engine.fire(now, due, &mut self.effects);
+                    if due == Due::Sweep {
+                        self.gauge(now);
+                    }
                 }
                 () = tokio::time::sleep_until(end.unwrap_or_else(Instant::now)), if end.is_some() => {
                     // What has just been answered still has to reach its clients.
@@ -223,6 +238,14 @@
         }
     }
 
+    /// Tells the figures what is so now.
+    fn gauge(&self, now: Time) {
+        let figures = &self.handle.figures;
+        figures.set(Gauge::InProgress, self.engine.open());
+        figures.set(Gauge::Known, self.listed.len());
+        figures.set(Gauge::Skipped, self.engine.avoided(now));
+    }
+
     fn now(&self) -> Time {
         self.anchor.0 + span(self.anchor.1.elapsed())
     }
@@ -275,6 +298,7 @@
             Report::WatchEnded => self.engine.list(now, ListNews::Broken, Vec::new(), out),
             Report::Probed(server, ok) => self.engine.probed(now, server, ok, out),
             Report::Leave(grace) => {
+                self.health.leaving();
                 let last = grace.saturating_sub(LAST_MARGIN);
                 let over = last.saturating_sub(LAST_MARGIN);
                 self.engine.leave(now, span(over), span(last));
@@ -347,6 +371,10 @@
         });
         let now = self.now();
         self.engine.list(now, kind, entries, &mut self.effects);
+        self.gauge(now);
+        if !self.listed.is_empty() {
+            self.health.ready();
+        }
     }
 
     fn carry_out(&mut self) {
--- /dev/null
+++ b/src/net/door.rs
@@ -0,0 +1,166 @@
+//! The operators' door: a thread and a runtime of its own, so that neither the core nor a crowd of
+//! clients can keep a caller waiting.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
+
+use super::listen;
+use super::log::Limited;
+use crate::config::DOOR_CALLERS;
+use crate::figures::Figures;
+use crate::operator::{Call, CallCodec, CallError, no, yes};
+
+/// How long a caller may take to say its call: some are silent for seconds and then speak.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// How long an answer may take to be written.
+const WRITE: Duration = Duration::from_secs(1);
+/// After an accept that failed, the next one waits a little.
+const AFTER_FAILURE: Duration = Duration::from_millis(20);
+
+static TROUBLE: Limited = Limited::new("operator");
+
+/// Whether this process is ready to serve.
+#[derive(Debug, Default)]
+pub struct Health(AtomicU8);
+
+const READY: u8 = 1;
+const LEAVING: u8 = 2;
+
+impl Health {
+    /// It listens and has a list. One that leaves does not become ready again.
+    pub fn ready(&self) {
+        let _ = self.0.compare_exchange(0, READY, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// It has been asked to stop.
+    pub fn leaving(&self) {
+        self.0.store(LEAVING, Ordering::Relaxed);
+    }
+
+    /// Whether it is.
+    pub fn is_ready(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == READY
+    }
+}
+
+/// What the door answers from.
+#[derive(Clone)]
+pub struct Office {
+    /// The figures.
+    pub figures: Arc<Figures>,
+    /// Whether this process is ready.
+    pub health: Arc<Health>,
+}
+
+impl Office {
+    /// An office with these figures, of a process that is not ready yet.
+    pub fn new(figures: Arc<Figures>) -> Self {
+        Self { figures, health: Arc::default() }
+    }
+
+    fn answer(&self, call: &Call) -> Bytes {
+        match call {
+            Call::Health if self.health.is_ready() => yes("ready"),
+            Call::Health => no("not ready"),
+            Call::Counters => self.figures.text().into(),
+        }
+    }
+}
+
+/// Binds the door's address and opens it on a thread of its own.
+///
+/// # Errors
+///
+/// Fails where the address cannot be bound or no thread can be had.
+pub fn open(address: SocketAddr, office: Office) -> io::Result<SocketAddr> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let listener = {
+        let _inside = runtime.enter();
+        listen::bind(address)?
+    };
+    let bound = listener.local_addr()?;
+    std::thread::Builder::new()
+        .name("door".to_owned())
+        .spawn(move || runtime.block_on(serve(listener, office)))?;
+    Ok(bound)
+}
+
+type Silent = Arc<Mutex<BTreeMap<u64, oneshot::Sender<()>>>>;
+
+async fn serve(listener: TcpListener, office: Office) {
+    // Those that have not said their call yet, the longest there first; and all that are inside.
+    let silent = Silent::default();
+    let inside = Arc::new(tokio::sync::Semaphore::new(DOOR_CALLERS));
+    let mut number = 0_u64;
+    loop {
+        let permit = match inside.clone().try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => {
+                // A caller that knows what it wants has said so long before this one came.
+                let longest = silent.lock().unwrap_or_else(PoisonError::into_inner).pop_first();
+                drop(longest);
+                match inside.clone().acquire_owned().await {
+                    Ok(permit) => permit,
+                    Err(_) => return,
+                }
+            }
+        };
+        let caller = loop {
+            match listener.accept().await {
+                Ok((caller, _)) => break caller,
+                Err(error) => {
+                    TROUBLE.say(format_args!("accept failed: {error}"));
+                    tokio::time::sleep(AFTER_FAILURE).await;
+                }
+            }
+        };
+        number += 1;
+        let (place, displaced) = oneshot::channel();
+        silent.lock().unwrap_or_else(PoisonError::into_inner).insert(number, place);
+        let (office, silent) = (office.clone(), silent.clone());
+        tokio::spawn(async move {
+            let call = tokio::select! {
+                biased;
+                call = hear(caller) => call,
+                _ = displaced => None,
+            };
+            silent.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
+            if let Some((call, mut caller)) = call {
+                let answer = match call {
+                    Ok(call) => office.answer(&call),
+                    Err(why) => no(why),
+                };
+                let written = async {
+                    caller.write_all(&answer).await?;
+                    caller.shutdown().await
+                };
+                let _ = timeout(WRITE, written).await;
+            }
+            drop(permit);
+        });
+    }
+}
+
+/// A caller's call, and the caller; none where nobody is there to be answered.
+async fn hear(caller: TcpStream) -> Option<(Result<Call, CallError>, TcpStream)> {
+    let _ = caller.set_nodelay(true);
+    let mut calls = FramedRead::new(caller, CallCodec);
+    let call = match timeout(PATIENCE, calls.next()).await {
+        Ok(None | Some(Err(CallError::Io(_)))) => return None,
+        Ok(Some(call)) => call,
+        Err(_) => Err(CallError::Late),
+    };
+    Some((call, calls.into_inner()))
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod core;
 pub mod discovery;
+pub mod door;
 pub mod listen;
 pub mod lobby;
 pub mod log;
--- a/src/net/quic.rs
+++ b/src/net/quic.rs
@@ -25,6 +25,7 @@
 use super::core::{Ask, Command, Handle, Port, Report};
 use crate::config::QuicFront;
 use crate::engine::Answer;
+use crate::figures::Count;
 use crate::interface::{Outcome, RequestId, Span};
 use crate::quic::header::{MIN_INITIAL, version_negotiation};
 use crate::quic::initial::{self, CONNECTION_REFUSED, INTERNAL_ERROR, Side};
@@ -460,6 +461,7 @@
                     (flow.stage, flow.last) = (Stage::Up(attempt), issued);
                     flow.held = Vec::new();
                     self.core.tell(Report::Up(id, attempt)).await;
+                    self.core.count(Count::Passed, &self.config.class);
                 }
                 self.table.learn(issued, id);
             }
@@ -507,9 +509,13 @@
                 if !self.open_path(id, client).await {
                     return self.server_gone(id, attempt, Outcome::ConnectError).await;
                 }
+                let begins = self.flows.get(&id).is_some_and(|flow| flow.first.is_some());
                 for datagram in held {
                     self.send(id, client, &datagram).await;
                 }
+                if begins {
+                    self.core.count(Count::Tries, &self.config.class);
+                }
             }
             Command::Close { attempt } => {
                 if flow.attempt() == Some(attempt) {
@@ -519,12 +525,14 @@
             }
             Command::Answer(answer) => match (flow.first, flow.client) {
                 (Some((first, theirs)), client) => {
-                    let (code, reason) = match answer {
+                    let (count, code, reason) = match answer {
                         Answer::Refused(wait) => {
-                            (CONNECTION_REFUSED, format!("BUSY {}", wait.as_micros() / 1000))
+                            let reason = format!("BUSY {}", wait.as_micros() / 1000);
+                            (Count::Dropped, CONNECTION_REFUSED, reason)
                         }
-                        Answer::Failed => (INTERNAL_ERROR, "ERR".to_owned()),
+                        Answer::Failed => (Count::BadGateway, INTERNAL_ERROR, "ERR".to_owned()),
                     };
+                    self.core.count(count, &self.config.class);
                     self.table.close(id);
                     self.remove(id);
                     self.refuse(first, theirs, client, code, &reason).await;
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -22,6 +22,7 @@
 use super::lobby::{Lobby, Place};
 use super::log::Limited;
 use crate::engine::Answer;
+use crate::figures::Count;
 use crate::interface::{Outcome, RequestId, Span};
 use crate::lines::{
     Claim, ClientEvent, ClientSide, FAILED, LineCodec, LineError, MOVE, Open, OpenError, OpenIds, PONG,
@@ -157,7 +158,13 @@
             }
         };
         let admitted = match first {
-            First::Open(open) => self.admit(open),
+            First::Open(open) => {
+                let class = open.class.clone();
+                self.admit(open).map_err(|(count, answer)| {
+                    self.core.count(count, &class);
+                    answer
+                })
+            }
             First::Bad(why) => Err(self.refuse(&why)),
             First::Over => return,
         };
@@ -181,14 +188,15 @@
     }
 
     /// Whether the client may have what it asks for, or what it is answered at once.
-    fn admit(&self, open: Box<Open>) -> Result<(Box<Open>, OwnedSemaphorePermit, Claim), Bytes> {
+    fn admit(&self, open: Box<Open>) -> Result<(Box<Open>, OwnedSemaphorePermit, Claim), (Count, Bytes)> {
         if open.at.is_some() && self.begun.load(Ordering::Relaxed) {
-            return Err(self.refuse(&LineOrOpen::At));
+            return Err((Count::BadGateway, self.refuse(&LineOrOpen::At)));
         }
-        let claim = self.ids.claim(&open.id).ok_or_else(|| self.refuse(&LineOrOpen::Id))?;
+        let claim =
+            self.ids.claim(&open.id).ok_or_else(|| (Count::BadGateway, self.refuse(&LineOrOpen::Id)))?;
         let Some(permit) = self.lobby.session() else {
             CROWD.say("all sessions are taken, one told to come again");
-            return Err(busy(OVER_LIMIT));
+            return Err((Count::Dropped, busy(OVER_LIMIT)));
         };
         Ok((open, permit, claim))
     }
@@ -276,6 +284,7 @@
                             Tried::Over(outcome) => {
                                 self.front.core.tell(Report::Ended(self.id, attempt, outcome)).await;
                                 if self.open.at.is_some() {
+                                    self.count(Count::BadGateway);
                                     drop(self.claim);
                                     return self.client.finish(FAILED).await;
                                 }
@@ -300,6 +309,10 @@
         }
     }
 
+    fn count(&self, count: Count) {
+        self.front.core.count(count, &self.open.class);
+    }
+
     async fn left(self) {
         self.front.core.tell(Report::Left(self.id)).await;
     }
@@ -308,16 +321,19 @@
     async fn bad(self, why: &LineOrOpen) {
         self.front.core.tell(Report::Left(self.id)).await;
         let answer = self.front.refuse(why);
+        self.count(Count::BadGateway);
         drop(self.claim);
         self.client.finish(&answer).await;
     }
 
     async fn answer(self, answer: Answer) {
+        let (count, line) = match answer {
+            Answer::Refused(wait) => (Count::Dropped, busy(wait)),
+            Answer::Failed => (Count::BadGateway, Bytes::from_static(FAILED)),
+        };
+        self.count(count);
         drop(self.claim);
-        match answer {
-            Answer::Refused(wait) => self.client.finish(&busy(wait)).await,
-            Answer::Failed => self.client.finish(FAILED).await,
-        }
+        self.client.finish(&line).await;
     }
 
     /// Makes one attempt. Its socket is closed before anything else is done when it is given up.
@@ -326,10 +342,11 @@
         let line = if existing { self.open.raw.clone() } else { self.open.forward(wait) };
         let by = Instant::now() + if existing { duration(wait).max(EXISTING) } else { duration(wait) };
         let connect = self.front.times.connect;
+        let written = || self.front.core.count(Count::Tries, &self.open.class);
         let dial = async {
             loop {
                 let side = ServerSide::default();
-                match dial(address, &line, connect, side).await {
+                match dial(address, &line, connect, side, &written).await {
                     Dialled::Up(server, side, line) => return Tried::Up(server, side, line),
                     // Before the run there is no hurry, and nowhere else to go.
                     Dialled::Over(Outcome::ConnectError) if existing => sleep(EXISTING_AGAIN).await,
@@ -367,7 +384,7 @@
         }
         let mut to_client = up;
         let mut to_server = self.early.split().freeze();
-        let mut last = false;
+        let (mut last, mut told) = (false, false);
         let end = loop {
             if last && to_client.is_empty() {
                 break End::Server(side.end());
@@ -377,6 +394,10 @@
                     if written.is_err() {
                         break End::Client(true);
                     }
+                    if !told && to_client.is_empty() {
+                        told = true;
+                        self.front.core.count(Count::Passed, &self.open.class);
+                    }
                 }
                 written = server.write.write_buf(&mut to_server), if !to_server.is_empty() => {
                     if written.is_err() {
@@ -498,6 +519,7 @@
     line: &[u8],
     connect: Duration,
     mut side: ServerSide,
+    written: &impl Fn(),
 ) -> Dialled {
     let Ok(Ok(stream)) = timeout_at(Instant::now() + connect, TcpStream::connect(address)).await else {
         return Dialled::Over(Outcome::ConnectError);
@@ -507,6 +529,7 @@
         return Dialled::Over(side.end());
     }
     side.written();
+    written();
     match server.lines.next().await {
         Some(Ok(line)) => match side.line(line) {
             ServerEvent::Up(line) => Dialled::Up(server, side, line),
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,102 @@
+//! The operators' calls: one line in, one answer out. Knows no socket and no server.
+
+use bytes::{Bytes, BytesMut};
+use tokio_util::codec::Decoder;
+
+/// Longest call, its end of line included: a word and a server's name.
+pub const MAX_CALL: usize = 512;
+
+/// What an operator asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Health,
+    /// The figures.
+    Counters,
+}
+
+/// Why a call is answered `400`.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// Not one of the calls.
+    #[error("no such call")]
+    Unknown,
+    /// A call with more words than it takes.
+    #[error("wrong number of words")]
+    Words,
+    /// Not text.
+    #[error("not printable text")]
+    Text,
+    /// More than [`MAX_CALL`] bytes without an end of line.
+    #[error("over {MAX_CALL} bytes")]
+    TooLong,
+    /// The caller ended before its line did.
+    #[error("no end of line")]
+    Cut,
+    /// The caller's time was up before its line was.
+    #[error("no call in time")]
+    Late,
+    /// The socket failed.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+}
+
+impl Call {
+    /// Reads a call, without its end of line.
+    ///
+    /// # Errors
+    ///
+    /// Says what is wrong with it.
+    pub fn parse(line: &[u8]) -> Result<Self, CallError> {
+        let text = std::str::from_utf8(line).map_err(|_| CallError::Text)?;
+        if text.chars().any(char::is_control) {
+            return Err(CallError::Text);
+        }
+        let mut words = text.split(' ').filter(|word| !word.is_empty());
+        let call = words.next().ok_or(CallError::Unknown)?;
+        let call = match call {
+            "health" => Call::Health,
+            "counters" => Call::Counters,
+            _ => return Err(CallError::Unknown),
+        };
+        if words.next().is_some() { Err(CallError::Words) } else { Ok(call) }
+    }
+}
+
+/// Cuts a call out of a caller's bytes, whether its line ends with CRLF or LF.
+#[derive(Debug, Default)]
+pub struct CallCodec;
+
+impl Decoder for CallCodec {
+    type Item = Call;
+    type Error = CallError;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Call>, CallError> {
+        match buffer.iter().take(MAX_CALL).position(|&byte| byte == b'\n') {
+            Some(end) => {
+                let line = buffer.split_to(end + 1);
+                let line = &line[..end];
+                Call::parse(line.strip_suffix(b"\r").unwrap_or(line)).map(Some)
+            }
+            None if buffer.len() < MAX_CALL => Ok(None),
+            None => Err(CallError::TooLong),
+        }
+    }
+
+    fn decode_eof(&mut self, buffer: &mut BytesMut) -> Result<Option<Call>, CallError> {
+        match self.decode(buffer)? {
+            None if !buffer.is_empty() => Err(CallError::Cut),
+            call => Ok(call),
+        }
+    }
+}
+
+/// A yes.
+pub fn yes(what: &str) -> Bytes {
+    format!("200 {what}\n").into()
+}
+
+/// A no, and why.
+pub fn no(why: impl std::fmt::Display) -> Bytes {
+    format!("400 {why}\n").into()
+}
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,106 @@
+//! The operators' calls and figures: random cuts and garbage against the parser, and the door itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ashtide::figures::{Count, Figures, Gauge};
+use ashtide::net::door::{self, Office};
+use ashtide::operator::{Call, CallCodec, CallError, MAX_CALL};
+use bytes::BytesMut;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::codec::Decoder;
+
+fn runner() -> TestRunner {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    TestRunner::new_with_rng(Cases { cases: 256, failure_persistence: None, ..Cases::default() }, rng)
+}
+
+/// Feeds a codec in pieces, and then the end.
+fn fed(pieces: &[&[u8]]) -> Result<Option<Call>, CallError> {
+    let mut buffer = BytesMut::new();
+    for piece in pieces {
+        buffer.extend_from_slice(piece);
+        if let Some(call) = CallCodec.decode(&mut buffer)? {
+            return Ok(Some(call));
+        }
+    }
+    CallCodec.decode_eof(&mut buffer)
+}
+
+#[test]
+fn a_call_reads_the_same_however_it_is_cut() {
+    let calls = [("health\n", Call::Health), ("health\r\n", Call::Health), (" counters \n", Call::Counters)];
+    runner()
+        .run(&(0..calls.len(), vec(any::<prop::sample::Index>(), 0..4)), |(which, cuts)| {
+            let (line, call) = &calls[which];
+            let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut.index(line.len())).collect();
+            cuts.extend([0, line.len()]);
+            cuts.sort_unstable();
+            let pieces: Vec<&[u8]> = cuts.windows(2).map(|cut| &line.as_bytes()[cut[0]..cut[1]]).collect();
+            let read = fed(&pieces).expect("a call");
+            prop_assert_eq!(read.as_ref(), Some(call));
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn garbage_is_no_call_and_never_buffers_more_than_a_line() {
+    runner()
+        .run(&vec(any::<u8>(), 1..2 * MAX_CALL), |bytes| {
+            prop_assert!(fed(&[&bytes]).is_err());
+            Ok(())
+        })
+        .unwrap();
+    assert!(matches!(fed(&[&[b'h'; MAX_CALL]]), Err(CallError::TooLong)));
+    assert!(matches!(fed(&[b"health now\n"]), Err(CallError::Words)));
+    assert!(matches!(fed(&[b"health"]), Err(CallError::Cut)));
+}
+
+#[test]
+fn all_classes_are_shown_from_the_start_and_no_others_are_added() {
+    let figures = Figures::new(&["a".to_owned(), "b\"x".to_owned()]);
+    let zeros = figures.text();
+    assert_eq!(zeros.lines().filter(|line| line.ends_with(" 0")).count(), 4 * 2 + 3, "{zeros}");
+    figures.count(Count::Tries, "a");
+    figures.count(Count::Dropped, "made up");
+    figures.set(Gauge::InProgress, 14);
+    let text = figures.text();
+    assert!(text.contains("\nrouter_upstream_tries_total{category=\"a\"} 1\n"), "{text}");
+    assert!(text.contains("router_dropped_total{category=\"b\\\"x\"} 0\n"), "{text}");
+    assert!(text.contains("\nrouter_in_progress 14\n") && text.ends_with("\nEOF\n"), "{text}");
+    assert_eq!(text.lines().count(), zeros.lines().count());
+}
+
+async fn ask(door: SocketAddr, call: &str) -> String {
+    let mut caller = TcpStream::connect(door).await.expect("the door is open");
+    caller.write_all(call.as_bytes()).await.expect("the call is taken");
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.expect("an answer");
+    answer
+}
+
+#[tokio::test]
+async fn the_door_answers_past_any_number_of_silent_callers() {
+    let office = Office::new(Arc::new(Figures::new(&["a".to_owned()])));
+    let health = office.health.clone();
+    let door = door::open("127.0.0.1:0".parse().expect("an address"), office).expect("a door");
+    let mut silent = Vec::new();
+    for _ in 0..3 * ashtide::config::DOOR_CALLERS {
+        silent.push(TcpStream::connect(door).await.expect("the door is open"));
+    }
+    assert!(ask(door, "health\r\n").await.starts_with("400"), "no list yet");
+    health.ready();
+    assert!(ask(door, "health\n").await.starts_with("200"));
+    assert!(ask(door, "counters\n").await.ends_with("\nEOF\n"));
+    assert!(ask(door, "helth\n").await.starts_with("400"));
+    assert!(ask(door, &"x".repeat(MAX_CALL)).await.starts_with("400"));
+    health.leaving();
+    health.ready();
+    assert!(ask(door, "health\n").await.starts_with("400"), "it is leaving");
+    drop(silent);
+}
