--- a/src/brain.rs
+++ b/src/brain.rs
@@ -95,6 +95,8 @@
     listing: Listing,
     /// This relay's own open connections to it, attempts included: what the draw compares.
     open: u32,
+    /// What another process of this relay holds there, once it has told.
+    beside: Option<u32>,
     /// When this relay takes it to have started, if it may still be cold.
     born: Option<Time>,
     /// Connections that this relay may still send it while it is paced, and when that was reckoned.
@@ -231,6 +233,7 @@
             Event::SlowMessages { server, takes } => self.on_slow_messages(now, server, takes, actions),
             Event::Silent { server } => self.on_silent(now, server, actions),
             Event::LoadChanged { id, load } => self.on_load(id, load),
+            Event::Beside { server, open, allowance } => self.on_beside(server, open, allowance),
             Event::Probed { .. } | Event::Mail { .. } => {}
         }
     }
@@ -240,6 +243,11 @@
         if self.known(server) { self.server(server).open } else { 0 }
     }
 
+    /// What this relay may still send a server while it is paced.
+    pub fn allowance(&self, server: ServerId) -> f64 {
+        if self.known(server) { self.server(server).allowance } else { 0.0 }
+    }
+
     /// Whether a ready server gets nothing while others are fit.
     pub fn avoids(&self, now: Time, server: ServerId) -> bool {
         self.known(server) && self.rung(now, &Pending::default(), self.server(server)) > 0
@@ -320,6 +328,16 @@
         actions.push(Action::SetTimer { token: Alarm::Subscribe.token(), at: now + wait });
     }
 
+    /// Two processes of one relay count as one: what the other may send is not sent twice.
+    fn on_beside(&mut self, id: ServerId, open: u32, allowance: f64) {
+        if self.known(id) {
+            let server = self.server_mut(id);
+            if server.beside.replace(open).is_none() {
+                server.allowance = server.allowance.min(allowance);
+            }
+        }
+    }
+
     // ---- A request arrives ----------------------------------------------------------------
 
     fn on_request(&mut self, now: Time, request: Request, actions: &mut Vec<Action>) {
@@ -434,7 +452,8 @@
     fn burden(&self, id: ServerId) -> f64 {
         let server = self.server(id);
         let priced = self.settings.prices.cross_zone > 0.0 && server.listing.zone != self.settings.zone;
-        f64::from(server.open + 1) / server.listing.size * if priced { FAR } else { 1.0 }
+        f64::from(server.open + server.beside.unwrap_or(0) + 1) / server.listing.size
+            * if priced { FAR } else { 1.0 }
     }
 
     /// The servers fit for this request, on the first rung of the ladder that has any: when all are
@@ -737,6 +756,13 @@
                 *settled += u32::from(!self.is_new(now, server.listing.server));
             }
         }
+        for server in self.ready.iter().map(|&id| self.server(id)) {
+            let beside = server.beside.unwrap_or(0);
+            if let Some([open, settled]) = zones.get_mut(&server.listing.zone) {
+                *open += beside;
+                *settled += if self.is_new(now, server.listing.server) { 0 } else { beside };
+            }
+        }
         for (zone, [open, settled_open]) in zones {
             let Zone { ready: all, settled } = self.zones[&zone];
             let mean = |open: u32, n: u32| f64::from(open) / f64::from(n.max(1));
--- a/src/config.rs
+++ b/src/config.rs
@@ -82,9 +82,15 @@
 }
 
 impl Room {
-    /// How many clients may be without a session while this many have one.
-    pub fn waiting(&self, sessions: usize) -> usize {
-        self.sockets.saturating_sub(2 * sessions).max(1)
+    /// How many clients may have a session while another process of this balancer uses `beside`
+    /// descriptors.
+    pub fn sessions(&self, beside: usize) -> usize {
+        self.sessions.min(self.sockets.saturating_sub(beside + WAITING.min(self.sockets / 3)) / 2)
+    }
+
+    /// How many clients may be without a session while this many have one, and `beside` as above.
+    pub fn waiting(&self, sessions: usize, beside: usize) -> usize {
+        self.sockets.saturating_sub(2 * sessions + beside).max(1)
     }
 }
 
@@ -106,6 +112,10 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// The descriptor of a listener for clients that the process has inherited, if there is one.
+    pub inherited: Option<i32>,
+    /// What may be written to, and is shared with another process of this balancer.
+    pub folder: Option<PathBuf>,
     /// Where operators call, if they may.
     pub operator: Option<SocketAddr>,
     /// For random numbers.
@@ -140,6 +150,11 @@
     pub fn room(&self, others: usize) -> Room {
         self.limits.room(others + self.operator.map_or(0, |_| DOOR_SOCKETS))
     }
+
+    /// Descriptors that the process keeps for itself, beside `others`.
+    pub fn kept_sockets(&self, others: usize) -> usize {
+        KEPT_SOCKETS + others + self.operator.map_or(0, |_| DOOR_SOCKETS)
+    }
 }
 
 /// What a reload brings.
@@ -235,6 +250,10 @@
         let (_, name) = told("ROUTER_NAME", "name")?;
         let listen = address(told("ROUTER_LISTEN", "listen")?)?;
         let discovery = address(told("ROUTER_DISCOVERY", "discovery")?)?;
+        let inherited = var("ROUTER_INHERITED_FD")
+            .map(|value| value.parse().map_err(|e| bad("ROUTER_INHERITED_FD", format!("'{value}': {e}"))))
+            .transpose()?;
+        let folder = var("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
         let operator = match told("ROUTER_OPERATOR", "operator") {
             Err(ConfigError::Missing(_)) => None,
             given => Some(address(given?)?),
@@ -259,7 +278,20 @@
         facts.settings(&facts.names()).map_err(|e| bad("settings", e))?;
         let longest = u64::try_from(facts.longest_deadline().as_micros()).unwrap_or_default();
         let grace = Duration::from_micros(longest).min(LONGEST_GRACE) + GRACE_ADDED;
-        Ok(Self { name, listen, discovery, operator, seed, limits, known, facts, grace, standing })
+        Ok(Self {
+            name,
+            listen,
+            inherited,
+            folder,
+            discovery,
+            operator,
+            seed,
+            limits,
+            known,
+            facts,
+            grace,
+            standing,
+        })
     }
 }
 
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use bytes::{Buf, BytesMut};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use tokio_util::codec::Decoder;
 
 use crate::interface::ServerState;
@@ -18,7 +18,7 @@
 const MAX_SIZE_LINE: usize = 256;
 
 /// One entry of the list.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// The server's name.
     pub name: String,
@@ -48,7 +48,7 @@
 }
 
 /// A server's state as the list words it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Status {
     /// Takes new connections.
@@ -70,7 +70,7 @@
 }
 
 /// The whole list or changes to it.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct News {
     /// The list's version.
     #[serde(default)]
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -324,6 +324,17 @@
         }
     }
 
+    /// What another process of this gateway holds on a server, and may still send it while it is cold.
+    pub fn beside(&mut self, now: Time, server: ServerId, share: (u32, f64), out: &mut Vec<Effect>) {
+        let (open, allowance) = share;
+        self.run(now, Event::Beside { server, open, allowance }, out);
+    }
+
+    /// What this process may still send a server while it is cold.
+    pub fn allowance(&self, server: ServerId) -> f64 {
+        self.module.allowance(server)
+    }
+
     /// A connection's load has changed.
     pub fn load(&mut self, now: Time, id: RequestId, load: f64, out: &mut Vec<Effect>) {
         self.run(now, Event::LoadChanged { id, load }, out);
--- /dev/null
+++ b/src/handover.rs
@@ -0,0 +1,141 @@
+//! What two processes of one balancer tell each other, and what outlives them. Knows no socket and no
+//! file: lines of JSON in and out.
+
+use std::collections::BTreeMap;
+
+use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use tokio_util::codec::Decoder;
+
+use crate::discovery::News;
+
+/// Longest word: a list of thousands of servers.
+pub const MAX_WORD: usize = 1 << 20;
+
+/// Why a word cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum WordError {
+    /// More than [`MAX_WORD`] bytes without an end of line.
+    #[error("over {MAX_WORD} bytes")]
+    TooLong,
+    /// Not a word of this version.
+    #[error("{0}")]
+    Form(#[from] serde_json::Error),
+    /// The socket failed.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+}
+
+/// What a process holds on one server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Share {
+    /// Open connections, attempts included.
+    pub open: u32,
+    /// Connections that it may still send while the server is cold.
+    pub budget: f64,
+}
+
+/// How a process stands.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct State {
+    /// When it started, in microseconds of Unix time: the younger is the successor.
+    pub started: u64,
+    /// Whether it takes clients.
+    pub ready: bool,
+    /// The run has begun: `at=` is over.
+    pub begun: bool,
+    /// Descriptors that it holds or keeps for itself.
+    pub sockets: usize,
+    /// By server's name, what it holds there.
+    pub shares: BTreeMap<String, Share>,
+}
+
+/// One word from process to process.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Word {
+    /// The server list as the sender has it.
+    List(News),
+    /// How the sender stands.
+    State(State),
+}
+
+impl Word {
+    /// The word as a line.
+    pub fn line(&self) -> Bytes {
+        // Names and numbers only: this does not fail.
+        let mut line = serde_json::to_vec(self).unwrap_or_default();
+        line.push(b'\n');
+        line.into()
+    }
+}
+
+/// Cuts a stream into words.
+#[derive(Debug, Default)]
+pub struct WordCodec {
+    /// How much of the buffer has been searched.
+    seen: usize,
+}
+
+impl Decoder for WordCodec {
+    type Item = Word;
+    type Error = WordError;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Word>, WordError> {
+        let from = self.seen.min(buffer.len());
+        let end = buffer[from..].iter().position(|&byte| byte == b'\n').map(|at| from + at);
+        self.seen = if end.is_some() { 0 } else { buffer.len() };
+        match end {
+            Some(end) if end < MAX_WORD => {
+                Ok(Some(serde_json::from_slice(&buffer.split_to(end + 1)[..end])?))
+            }
+            None if buffer.len() < MAX_WORD => Ok(None),
+            _ => Err(WordError::TooLong),
+        }
+    }
+
+    /// What is left without an end of line is no word.
+    fn decode_eof(&mut self, buffer: &mut BytesMut) -> Result<Option<Word>, WordError> {
+        self.decode(buffer)
+    }
+}
+
+/// What all other processes of this balancer are, together.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Others {
+    /// Whether a younger one takes the clients.
+    pub succeeded: bool,
+    /// The run has begun for one of them.
+    pub begun: bool,
+    /// Descriptors that they use.
+    pub sockets: usize,
+    /// By server's name, what they hold there.
+    pub shares: BTreeMap<String, Share>,
+}
+
+impl Others {
+    /// The sum of these, as one that started at `started` sees them.
+    pub fn sum<'a>(started: u64, states: impl Iterator<Item = &'a State>) -> Self {
+        states.fold(Self::default(), |mut all, state| {
+            all.succeeded |= state.ready && state.started > started;
+            all.begun |= state.begun;
+            all.sockets += state.sockets;
+            for (server, share) in &state.shares {
+                let sum = all.shares.entry(server.clone()).or_default();
+                sum.open += share.open;
+                sum.budget += share.budget;
+            }
+            all
+        })
+    }
+}
+
+/// What outlives a process, as one file.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Kept {
+    /// The run has begun.
+    pub begun: bool,
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -414,6 +414,15 @@
         /// The server.
         server: ServerId,
     },
+    /// Another process of this relay, as in an upgrade, holds these connections on a server.
+    Beside {
+        /// The server.
+        server: ServerId,
+        /// Its open connections there.
+        open: u32,
+        /// What it may still send there while the server is paced.
+        allowance: f64,
+    },
     /// A connection's load has changed.
     LoadChanged {
         /// Which request.
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,8 @@
 
 use ashtide::config::{Config, Fronts};
 use ashtide::net::core::{Core, Report, duration};
+use ashtide::net::handover::{self, Place, Post};
+use ashtide::net::lobby::Lobby;
 use ashtide::net::{discovery, door, listen, quic, reload, session, vrrp};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -36,25 +38,49 @@
 
 async fn run(config: Config, fronts: Fronts) -> Result<(), Box<dyn std::error::Error>> {
     // Both before anything listens: without a handler, either ends the process on the spot.
+    let listener = match config.inherited {
+        Some(number) => listen::adopt(number).map_err(|e| format!("ROUTER_INHERITED_FD: '{number}': {e}"))?,
+        None => listen::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?,
+    };
+    let started = handover::unix_micros();
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
     // One call asked for while another runs: the queue's one place says so.
     let (subscribe, subscriptions) = mpsc::channel(1);
-    let (core, handle, office) = Core::new(&config, subscribe)?;
-    let listener = listen::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
-    let room = config.room(fronts.quic.as_ref().map_or(0, |quic| quic.paths));
+    let others = fronts.quic.as_ref().map_or(0, |quic| quic.paths);
+    let room = config.room(others);
+    let lobby = Lobby::new(room);
+    let place = config.folder.as_deref().map(|folder| Place::new(folder, &config.name));
+    let kept = place.as_ref().map(Place::kept).unwrap_or_default();
+    let met = match &place {
+        Some(place) => Some(handover::meet(place, started).await),
+        None => None,
+    };
+    if kept.begun || met.as_ref().is_some_and(|met| met.others(started).begun) {
+        lobby.begin();
+    }
+    // What an older process has heard is newer than what this one was given.
+    let relayed = met.as_ref().and_then(|met| met.list.clone());
+    let known = [config.known.clone(), relayed].into_iter().flatten().max_by_key(|list| list.index);
+    let post = Post::new(lobby.clone(), place.clone(), kept, config.kept_sockets(others), started);
+    let telling = post.telling();
+    let (core, handle, office) = Core::new(&config, subscribe, post)?;
     let listen = listener.local_addr()?;
     eprintln!("ashtide: {} listens on {listen}, at most {} clients", config.name, room.sessions);
     if let Some(operator) = config.operator {
         let at = door::open(operator, office).map_err(|e| format!("operator {operator}: {e}"))?;
         eprintln!("operator: listens on {at}");
     }
-    let after = config.known.as_ref().map_or(0, |known| known.index);
+    let after = known.as_ref().map_or(0, |known| known.index);
     let (found, address) = watch::channel(config.discovery);
     tokio::spawn(discovery::follow(address, after, subscriptions, handle.clone()));
     tokio::spawn(reload::follow(hangup, config.standing, found));
     let times = session::Times { connect: duration(config.facts.connect_timeout()) };
-    tokio::spawn(listen::serve(listener, room, times, handle.clone()));
+    let (accepts, accepting) = watch::channel(true);
+    tokio::spawn(listen::serve(listener, lobby.clone(), times, accepting, handle.clone()));
+    if let Some(met) = met {
+        tokio::spawn(handover::run(met, telling, lobby, accepts.clone(), handle.clone()));
+    }
     let (stop, stopping) = watch::channel(false);
     if let Some(front) = fronts.quic {
         if config.facts.names().classes.find(&front.class).is_none() {
@@ -83,7 +109,10 @@
             handle.tell(Report::Leave(grace)).await;
         }
     });
-    core.run(config.known).await;
+    core.run(known).await;
+    if let Some(place) = place {
+        place.leave(started);
+    }
     eprintln!("ashtide: left");
     Ok(())
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -10,12 +10,14 @@
 use tokio::time::Instant;
 
 use super::door::{Health, Office};
+use super::handover::Post;
 use super::log::Limited;
 use crate::config::Config;
-use crate::discovery::{News, Status};
+use crate::discovery::{Entry, News, Status};
 use crate::engine::{Answer, Due, Effect, Engine};
 use crate::facts::Names;
 use crate::figures::{Count, Figures, Gauge};
+use crate::handover::Share;
 use crate::interface::*;
 
 /// Reports that may wait for the core before fronts have to.
@@ -95,6 +97,10 @@
     Load(RequestId, f64),
     /// News of the list.
     News(News),
+    /// The list as an older process of this balancer has it.
+    Relayed(News),
+    /// What other processes of this balancer hold, by server.
+    Beside(BTreeMap<String, Share>),
     /// The watch has ended.
     WatchEnded,
     /// A probe is back.
@@ -139,12 +145,16 @@
     reports: mpsc::Receiver<Report>,
     handle: Handle,
     subscribe: mpsc::Sender<()>,
-    /// The servers that the list has, with their addresses, and who wants to know.
-    listed: BTreeMap<String, SocketAddr>,
+    /// The list as it stands, its version, and whether discovery has told any of it to this process.
+    listed: BTreeMap<String, Entry>,
+    index: u64,
+    told: bool,
+    /// Who wants to know of the servers on it.
     fleet: watch::Sender<BTreeMap<String, SocketAddr>>,
     connect_timeout: Duration,
     effects: Vec<Effect>,
     health: Arc<Health>,
+    post: Post,
     /// No exit before the first; exit at the second whatever is left.
     leaving: Option<(Instant, Instant)>,
 }
@@ -173,7 +183,11 @@
     /// # Errors
     ///
     /// Fails where the settings cannot be used.
-    pub fn new(config: &Config, subscribe: mpsc::Sender<()>) -> Result<(Self, Handle, Office), String> {
+    pub fn new(
+        config: &Config,
+        subscribe: mpsc::Sender<()>,
+        post: Post,
+    ) -> Result<(Self, Handle, Office), String> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let anchor = (Time::default() + span(unix), Instant::now());
         let names = config.facts.names();
@@ -192,10 +206,13 @@
             handle: handle.clone(),
             subscribe,
             listed: BTreeMap::new(),
+            index: 0,
+            told: false,
             fleet: watch::Sender::new(BTreeMap::new()),
             connect_timeout: duration(config.facts.connect_timeout()),
             effects: Vec::new(),
             health: office.health.clone(),
+            post,
             leaving: None,
         };
         Ok((core, handle, office))
@@ -213,7 +230,7 @@
         loop {
             self.carry_out();
             let end = match self.leaving {
-                Some((earliest, _)) if self.ports.is_empty() => Some(earliest),
+                Some((earliest, _)) if self.ports.is_empty() && !self.post.lobby.waits() => Some(earliest),
                 Some((_, latest)) => Some(latest),
                 None => None,
             };
@@ -239,11 +256,18 @@
     }
 
     /// Tells the figures what is so now.
-    fn gauge(&self, now: Time) {
+    fn gauge(&mut self, now: Time) {
         let figures = &self.handle.figures;
         figures.set(Gauge::InProgress, self.engine.open());
         figures.set(Gauge::Known, self.listed.len());
         figures.set(Gauge::Skipped, self.engine.avoided(now));
+        let shares = self.listed.keys().filter_map(|name| {
+            let server = self.names.servers.find(name).map(ServerId)?;
+            let share = Share { open: self.engine.open_on(server), budget: self.engine.allowance(server) };
+            Some((name.clone(), share))
+        });
+        let shares = shares.collect();
+        self.post.tell(self.health.is_ready(), shares);
     }
 
     fn now(&self) -> Time {
@@ -292,9 +316,23 @@
             Report::Answered(id) => self.engine.answered(now, id),
             Report::Load(id, load) => self.engine.load(now, id, load, out),
             Report::News(news) => {
+                self.told = true;
                 let kind = if news.snapshot { ListNews::Whole } else { ListNews::Changes };
                 self.news(news, kind);
             }
+            // Discovery's own word goes before what another process has heard of it.
+            Report::Relayed(news) => {
+                if !self.told && news.index > self.index {
+                    self.news(news, ListNews::Stale);
+                }
+            }
+            Report::Beside(shares) => {
+                for (name, share) in shares {
+                    if let Some(server) = self.names.servers.find(&name).map(ServerId) {
+                        self.engine.beside(now, server, (share.open, share.budget), &mut self.effects);
+                    }
+                }
+            }
             Report::WatchEnded => self.engine.list(now, ListNews::Broken, Vec::new(), out),
             Report::Probed(server, ok) => self.engine.probed(now, server, ok, out),
             Report::Leave(grace) => {
@@ -336,6 +374,7 @@
     }
 
     fn news(&mut self, news: News, kind: ListNews) {
+        self.index = news.index;
         let mut entries = Vec::with_capacity(news.endpoints.len());
         if kind != ListNews::Changes {
             self.listed.clear();
@@ -349,7 +388,7 @@
             let server = ServerId(servers.intern(&entry.name));
             match entry.status {
                 Status::Deleted => _ = self.listed.remove(&entry.name),
-                _ => _ = self.listed.insert(entry.name.clone(), entry.address),
+                _ => _ = self.listed.insert(entry.name.clone(), entry.clone()),
             }
             self.addresses.insert(server, entry.address);
             entries.push(Listing {
@@ -363,18 +402,20 @@
             });
         }
         self.fleet.send_if_modified(|fleet| {
-            let changed = *fleet != self.listed;
-            if changed {
-                fleet.clone_from(&self.listed);
-            }
+            let now: BTreeMap<_, _> =
+                self.listed.iter().map(|(name, it)| (name.clone(), it.address)).collect();
+            let changed = *fleet != now;
+            *fleet = now;
             changed
         });
         let now = self.now();
         self.engine.list(now, kind, entries, &mut self.effects);
-        self.gauge(now);
         if !self.listed.is_empty() {
             self.health.ready();
         }
+        let endpoints = self.listed.values().cloned().collect();
+        self.post.list(News { index: self.index, snapshot: true, endpoints });
+        self.gauge(now);
     }
 
     fn carry_out(&mut self) {
--- a/src/net/lobby.rs
+++ b/src/net/lobby.rs
@@ -3,20 +3,29 @@
 //! there longest makes room for the next: a client that means well speaks at once.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::sync::oneshot;
 
 use crate::config::Room;
 
-/// Clients without a session, and permits for those with one.
+/// Clients without a session, and how many there are with one.
 #[derive(Clone)]
 pub struct Lobby {
     room: Room,
-    sessions: Arc<Semaphore>,
-    waiting: Arc<Mutex<BTreeMap<u64, oneshot::Sender<()>>>>,
-    arrivals: Arc<AtomicU64>,
+    inside: Arc<Mutex<Inside>>,
+    begun: Arc<AtomicBool>,
+}
+
+#[derive(Default)]
+struct Inside {
+    /// Clients with a session.
+    sessions: usize,
+    /// Descriptors that another process of this balancer uses: the limit is for both.
+    beside: usize,
+    arrivals: u64,
+    waiting: BTreeMap<u64, oneshot::Sender<()>>,
 }
 
 /// A client's place. It is given back when dropped.
@@ -26,40 +35,74 @@
     displaced: oneshot::Receiver<()>,
 }
 
+/// A client's session. It is given back when dropped.
+pub struct Permit {
+    lobby: Lobby,
+}
+
 impl Lobby {
     /// An empty one.
     pub fn new(room: Room) -> Self {
-        Self {
-            room,
-            sessions: Arc::new(Semaphore::new(room.sessions)),
-            waiting: Arc::default(),
-            arrivals: Arc::default(),
-        }
+        Self { room, inside: Arc::default(), begun: Arc::default() }
+    }
+
+    fn inside(&self) -> MutexGuard<'_, Inside> {
+        self.inside.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// A permit for a session, unless all are taken.
-    pub fn session(&self) -> Option<OwnedSemaphorePermit> {
-        self.sessions.clone().try_acquire_owned().ok()
+    pub fn session(&self) -> Option<Permit> {
+        let mut inside = self.inside();
+        let free = inside.sessions < self.room.sessions(inside.beside);
+        inside.sessions += usize::from(free);
+        free.then(|| Permit { lobby: self.clone() })
     }
 
     /// Takes a client in, and whether others had to go for it.
     pub fn enter(&self) -> (Place, bool) {
         let (sender, displaced) = oneshot::channel();
-        let number = self.arrivals.fetch_add(1, Ordering::Relaxed);
-        let open = self.room.sessions - self.sessions.available_permits();
-        let most = self.room.waiting(open);
-        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut inside = self.inside();
+        let most = self.room.waiting(inside.sessions, inside.beside);
         let mut crowded = false;
-        while waiting.len() >= most {
+        while inside.waiting.len() >= most {
             crowded = true;
-            if let Some((_, oldest)) = waiting.pop_first() {
+            if let Some((_, oldest)) = inside.waiting.pop_first() {
                 let _ = oldest.send(());
             }
         }
-        waiting.insert(number, sender);
-        drop(waiting);
+        inside.arrivals += 1;
+        let number = inside.arrivals;
+        inside.waiting.insert(number, sender);
+        drop(inside);
         (Place { lobby: self.clone(), number, displaced }, crowded)
     }
+
+    /// Another process of this balancer uses so many descriptors.
+    pub fn beside(&self, sockets: usize) {
+        self.inside().beside = sockets;
+    }
+
+    /// Descriptors that clients use.
+    pub fn sockets(&self) -> usize {
+        let inside = self.inside();
+        2 * inside.sessions + inside.waiting.len()
+    }
+
+    /// Whether clients are here that have no session.
+    pub fn waits(&self) -> bool {
+        !self.inside().waiting.is_empty()
+    }
+
+    /// A connection has come up that did not stand before: the run has begun, and with it the time
+    /// of `at=` is over. It names a server past all decisions, so it must not stay open to anyone.
+    pub fn begin(&self) {
+        self.begun.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the run has begun.
+    pub fn begun(&self) -> bool {
+        self.begun.load(Ordering::Relaxed)
+    }
 }
 
 impl Place {
@@ -72,6 +115,12 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.lobby.waiting.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.number);
+        self.lobby.inside().waiting.remove(&self.number);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.lobby.inside().sessions -= 1;
     }
 }
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -5,8 +5,6 @@
 //! way until it has been: that is the back-pressure. `Framed`'s buffer moves its rest to the front
 //! where a ring would wrap; no second buffer stands behind it.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -14,12 +12,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::FramedRead;
 
 use super::core::{Ask, COMMANDS, Command, Handle, Report, duration};
-use super::lobby::{Lobby, Place};
+use super::lobby::{Lobby, Permit, Place};
 use super::log::Limited;
 use crate::engine::Answer;
 use crate::figures::Count;
@@ -112,9 +110,6 @@
     times: Times,
     core: Handle,
     ids: OpenIds,
-    /// A connection has come up that did not stand before: the run has begun, and with it the time
-    /// of `at=` is over. It names a server past all decisions, so it must not stay open to anyone.
-    begun: Arc<AtomicBool>,
 }
 
 /// How a client's first lines ended.
@@ -143,7 +138,7 @@
 impl Front {
     /// The front, with no clients yet.
     pub fn new(lobby: Lobby, times: Times, core: Handle) -> Self {
-        Self { lobby, times, core, ids: OpenIds::default(), begun: Arc::default() }
+        Self { lobby, times, core, ids: OpenIds::default() }
     }
 
     /// Serves one client. Its place is kept until it has a session or has gone.
@@ -188,8 +183,8 @@
     }
 
     /// Whether the client may have what it asks for, or what it is answered at once.
-    fn admit(&self, open: Box<Open>) -> Result<(Box<Open>, OwnedSemaphorePermit, Claim), (Count, Bytes)> {
-        if open.at.is_some() && self.begun.load(Ordering::Relaxed) {
+    fn admit(&self, open: Box<Open>) -> Result<(Box<Open>, Permit, Claim), (Count, Bytes)> {
+        if open.at.is_some() && self.lobby.begun() {
             return Err((Count::BadGateway, self.refuse(&LineOrOpen::At)));
         }
         let claim =
@@ -380,7 +375,7 @@
         self.front.core.tell(Report::Up(id, attempt)).await;
         self.side.up();
         if self.open.at.is_none() {
-            self.front.begun.store(true, Ordering::Relaxed);
+            self.front.lobby.begin();
         }
         let mut to_client = up;
         let mut to_server = self.early.split().freeze();
--- a/src/rehearsal/daemon.rs
+++ b/src/rehearsal/daemon.rs
@@ -69,8 +69,10 @@
         });
         std::fs::write(files.join("config.json"), config.to_string())?;
         let mut command = Command::new(program);
-        command.env("ROUTER_CONFIG", files.join("config.json"));
-        for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
+        command.env("ROUTER_CONFIG", files.join("config.json")).env("TMPDIR", &files);
+        for name in
+            ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_OPERATOR", "ROUTER_INHERITED_FD"]
+        {
             command.env_remove(name);
         }
         if options.paths > 0 {
