Rehearse an upgrade: listener inherited, successor met, a killed one survived

The rehearsal found that a process met within 250 ms of the first connection did not know that the run had begun, so 'at=' was open again: the state told to a new link now asks the lobby (net/handover.rs, link).

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -285,7 +285,9 @@
                     if changed.is_err() {
                         break;
                     }
-                    let Telling { state, list } = self.telling.borrow_and_update().clone();
+                    let Telling { mut state, list } = self.telling.borrow_and_update().clone();
+                    // The core tells a few times a second; the run may have begun since.
+                    state.begun |= self.lobby.begun();
                     let mut lines = Vec::new();
                     // The list goes first: the state is what the other waits for.
                     if let Some(list) = list.filter(|list| told.replace(list.index) != Some(list.index)) {
--- a/src/rehearsal/daemon.rs
+++ b/src/rehearsal/daemon.rs
@@ -1,12 +1,15 @@
 //! Starts the daemon as an operator would, and ends it by its own process id.
 
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
+use std::sync::Arc;
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -26,6 +29,18 @@
     pub vrrp: String,
     /// Its limit on descriptors beside those; 1,024 where 0.
     pub sockets: usize,
+    /// What it shares with another process of the same balancer: a listener that it inherits, and a
+    /// folder. It has a door for operators then.
+    pub shared: Option<Shared>,
+}
+
+/// What the processes of one balancer share.
+#[derive(Debug, Clone)]
+pub struct Shared {
+    /// Where clients come.
+    pub listener: Arc<std::net::TcpListener>,
+    /// What they may write to.
+    pub folder: PathBuf,
 }
 
 /// A running daemon.
@@ -34,6 +49,8 @@
     pub lines: SocketAddr,
     /// Where it takes QUIC.
     pub quic: Option<SocketAddr>,
+    /// Where it takes calls.
+    pub door: Option<SocketAddr>,
     child: Child,
     log: JoinHandle<()>,
     said: watch::Receiver<Vec<String>>,
@@ -53,8 +70,9 @@
         let files = std::env::temp_dir().join(format!("ashtide-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&files)?;
         let sockets = if options.sockets == 0 { 1024 } else { options.sockets };
-        let config = json!({
-            "name": format!("n{number}"), "listen": "127.0.0.1:0", "discovery": fleet.discovery,
+        let name = if options.shared.is_some() { "shared".to_owned() } else { format!("n{number}") };
+        let mut config = json!({
+            "name": name, "listen": "127.0.0.1:0", "discovery": fleet.discovery,
             "seed": "5eed", "limits": {"memory_mb": 192, "sockets": sockets + 2 * options.paths},
             "known": fleet.known(),
             "settings": {
@@ -67,14 +85,35 @@
                           "fallMultiple": 2.5, "overloadFor": 1.0},
             },
         });
+        if options.shared.is_some() {
+            config["operator"] = json!("127.0.0.1:0");
+        }
         std::fs::write(files.join("config.json"), config.to_string())?;
-        let mut command = Command::new(program);
-        command.env("ROUTER_CONFIG", files.join("config.json")).env("TMPDIR", &files);
+        let mut command = match &options.shared {
+            // As the platform does it: the listener is descriptor 4 of what the shell starts.
+            Some(_) => {
+                let mut shell = Command::new("/bin/sh");
+                shell.args(["-c", "exec \"$0\" \"$@\" 4<&0"]).arg(program);
+                shell
+            }
+            None => Command::new(program),
+        };
+        command.env("ROUTER_CONFIG", files.join("config.json"));
         for name in
             ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_OPERATOR", "ROUTER_INHERITED_FD"]
         {
             command.env_remove(name);
         }
+        let stdin = match &options.shared {
+            Some(shared) => {
+                command.env("ROUTER_INHERITED_FD", "4").env("TMPDIR", &shared.folder);
+                Stdio::from(OwnedFd::from(shared.listener.try_clone()?))
+            }
+            None => {
+                command.env("TMPDIR", &files);
+                Stdio::null()
+            }
+        };
         if options.paths > 0 {
             let text = format!(
                 "[quic]\nlisten = \"127.0.0.1:0\"\nclass = \"meter\"\ndeadline_ms = {DEADLINE_MS}\n\
@@ -84,17 +123,22 @@
             std::fs::write(files.join("fronts.toml"), text)?;
             command.arg("--fronts").arg(files.join("fronts.toml"));
         }
-        let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true).spawn()?;
+        let mut child = command.stdin(stdin).stderr(Stdio::piped()).kill_on_drop(true).spawn()?;
         let stderr = child.stderr.take().ok_or(RehearsalError::Late("the daemon's log"))?;
         let mut lines = BufReader::new(stderr).lines();
-        let (mut said, mut text, mut quic) = (Vec::new(), None, None);
-        while text.is_none() || (options.paths > 0 && quic.is_none()) {
+        let (mut said, mut text, mut quic, mut door) = (Vec::new(), None, None, None);
+        while text.is_none()
+            || (options.paths > 0 && quic.is_none())
+            || (options.shared.is_some() && door.is_none())
+        {
             let line = within("the daemon's word that it listens", lines.next_line()).await??;
             let line = line.ok_or(RehearsalError::Late("a daemon that stays"))?;
             let at =
                 line.split_once("listens on ").and_then(|(_, rest)| rest.split(',').next()?.parse().ok());
             if line.starts_with("quic: ") {
                 quic = at.or(quic);
+            } else if line.starts_with("operator: ") {
+                door = at.or(door);
             } else {
                 text = at.or(text);
             }
@@ -112,7 +156,7 @@
             }
         });
         let lines = text.ok_or(RehearsalError::Late("the lines front"))?;
-        Ok(Self { lines, quic, child, log, said, files, config })
+        Ok(Self { lines, quic, door, child, log, said, files, config })
     }
 
     /// Replaces a key of the configuration file, and sends SIGHUP to this daemon.
@@ -132,12 +176,28 @@
     /// # Errors
     ///
     /// Fails where none comes.
-    pub async fn says(&mut self, beginning: &'static str) -> Result<(), RehearsalError> {
+    pub async fn says(&self, beginning: &'static str) -> Result<(), RehearsalError> {
         let begins = |said: &Vec<String>| said.iter().any(|line| line.starts_with(beginning));
-        within(beginning, self.said.wait_for(begins)).await?.map_err(|_| RehearsalError::Late(beginning))?;
+        within(beginning, self.said.clone().wait_for(begins))
+            .await?
+            .map_err(|_| RehearsalError::Late(beginning))?;
         Ok(())
     }
 
+    /// Makes an operator's call; the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the daemon has no door or does not answer.
+    pub async fn call(&self, call: &str) -> Result<String, RehearsalError> {
+        let door = self.door.ok_or(RehearsalError::Late("a door for operators"))?;
+        let mut caller = within("a caller's connection", TcpStream::connect(door)).await??;
+        caller.write_all(format!("{call}\n").as_bytes()).await?;
+        let mut answer = String::new();
+        within("an answer to a call", caller.read_to_string(&mut answer)).await??;
+        Ok(answer)
+    }
+
     /// Sends SIGTERM to this daemon.
     ///
     /// # Errors
--- a/src/rehearsal/scenarios.rs
+++ b/src/rehearsal/scenarios.rs
@@ -1,13 +1,14 @@
 //! The named scenarios. Each starts its own fleet and daemon, and says what it looked at.
 
 use std::path::Path;
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use tokio::net::UdpSocket;
 use tokio::time::{Duration, Instant};
 
 use super::clients::{Clients, LineClient, Pool, short};
-use super::daemon::{DEADLINE_MS, Daemon, Options};
+use super::daemon::{DEADLINE_MS, Daemon, Options, Shared};
 use super::fleet::{Fleet, Mood};
 use super::{Checks, ID_LENGTH, RehearsalError, within};
 use crate::quic::ConnectionId;
@@ -15,8 +16,18 @@
 use crate::quic::placing::{issue, server_key};
 
 /// The names of all scenarios.
-pub const NAMES: [&str; 9] =
-    ["migration", "unknown-id", "refusal", "drain", "loss", "stop", "reload", "rude", "vrrp-failover"];
+pub const NAMES: [&str; 10] = [
+    "migration",
+    "unknown-id",
+    "refusal",
+    "drain",
+    "loss",
+    "stop",
+    "reload",
+    "rude",
+    "upgrade",
+    "vrrp-failover",
+];
 /// Clients of the migration scenario, unless told otherwise.
 pub const MIGRANTS: usize = 2000;
 /// Sockets over which many stand-in clients speak.
@@ -43,6 +54,7 @@
         "stop" => stop(program).await,
         "reload" => reload(program).await,
         "rude" => rude(program).await,
+        "upgrade" => upgrade(program).await,
         "vrrp-failover" => vrrp_failover(program).await,
         other => Err(RehearsalError::Unknown(other.to_owned())),
     }
@@ -453,6 +465,64 @@
     Ok(checks)
 }
 
+/// A new version beside the old: the listener is inherited, and the two meet in their folder.
+async fn upgrade(program: &Path) -> Result<Checks, RehearsalError> {
+    let mut checks = Checks::default();
+    let fleet = Fleet::start(2).await?;
+    let listener = Arc::new(std::net::TcpListener::bind("127.0.0.1:0")?);
+    let at = listener.local_addr()?;
+    static PLAYED: AtomicU64 = AtomicU64::new(0);
+    let number = PLAYED.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("ashtide-shared-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    // What a killed process leaves: a name that nobody listens at.
+    drop(std::os::unix::net::UnixListener::bind(folder.join("ashtide.shared.1.sock"))?);
+    let options = Options { shared: Some(Shared { listener, folder: folder.clone() }), ..Options::default() };
+
+    let first = Daemon::start(program, &fleet, &options).await?;
+    let mut lines = Vec::new();
+    for number in 0..FEW as u64 {
+        let (client, answer) = LineClient::open(at, number).await?;
+        checks.that("a client comes up at the first", answer.starts_with("UP "), answer);
+        lines.push(client);
+    }
+    let mut second = Daemon::start(program, &fleet, &options).await?;
+    first.says("handover: its successor takes the clients").await?;
+    let health = second.call("health").await?;
+    checks.that("the second is ready", health.starts_with("200"), health);
+    let open = "OPEN 00000000000000aa 77 c=meter,d=3000,g=1,at=s-0\r\n";
+    let word = LineClient::connect(at).await?.blurt(open.as_bytes()).await?;
+    checks.equal("it knows that the run has begun", word.as_deref(), Some("ERR"));
+    let (client, answer) = LineClient::open(at, 200).await?;
+    checks.that("a client comes up at the second", answer.starts_with("UP "), answer);
+    lines.push(client);
+    let passed = |text: &str| text.contains(&format!("passed_total{{category=\"meter\"}} {FEW}\n"));
+    checks.that("and not at the first", passed(&first.call("counters").await?), "its count");
+
+    // A third that is killed leaves the clients to the second again.
+    let mut third = Daemon::start(program, &fleet, &options).await?;
+    second.says("handover: its successor takes the clients").await?;
+    third.kill().await?;
+    second.says("handover: this process takes the clients").await?;
+
+    first.terminate()?;
+    let mut again = 0;
+    for client in &mut lines[..FEW] {
+        let moved = client.is_moved().await?;
+        let (back, answer) = LineClient::open(at, 300).await?;
+        again += usize::from(moved && answer.starts_with("UP "));
+        *client = back;
+    }
+    checks.equal("all clients of the first are moved and come up again", again, FEW);
+    let (status, _) = first.end().await?;
+    checks.that("the first ends well", status.success(), status);
+    checks.that("the second still runs", second.runs(), "its process");
+    checks.that("its clients have their connections", lines[FEW].echoes("hello").await?, "an echo");
+    drop(second);
+    std::fs::remove_dir_all(folder)?;
+    Ok(checks)
+}
+
 /// Descriptors of a daemon that has few.
 const SMALL: usize = 256;
 /// Bad clients are owed an end by then.
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,80 @@
+//! What processes of one balancer tell each other: random cuts, garbage, and the file that outlives them.
+
+use std::collections::BTreeMap;
+
+use ashtide::handover::{Kept, MAX_WORD, Others, Share, State, Word, WordCodec};
+use ashtide::net::handover::Place;
+use bytes::BytesMut;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
+use tokio_util::codec::Decoder;
+
+fn runner() -> TestRunner {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[12; 32]);
+    TestRunner::new_with_rng(Cases { cases: 256, failure_persistence: None, ..Cases::default() }, rng)
+}
+
+fn state(started: u64, ready: bool, open: u32) -> State {
+    let shares = BTreeMap::from([("s-0".to_owned(), Share { open, budget: 0.5 })]);
+    State { started, ready, begun: true, sockets: 40, shares }
+}
+
+#[test]
+fn words_read_the_same_however_they_are_cut() {
+    let words = [Word::State(state(7, true, 3)), Word::State(State::default())];
+    let bytes: Vec<u8> = words.iter().flat_map(|word| word.line().to_vec()).collect();
+    runner()
+        .run(&vec(1..bytes.len(), 0..5), |mut cuts| {
+            cuts.extend([0, bytes.len()]);
+            cuts.sort_unstable();
+            let (mut codec, mut buffer, mut read) = (WordCodec::default(), BytesMut::new(), Vec::new());
+            for cut in cuts.windows(2) {
+                buffer.extend_from_slice(&bytes[cut[0]..cut[1]]);
+                while let Some(word) = codec.decode(&mut buffer).expect("a word") {
+                    read.push(word);
+                }
+            }
+            prop_assert_eq!(&read[..], &words[..]);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn garbage_is_an_error_and_never_a_word() {
+    runner()
+        .run(&vec(any::<u8>(), 1..64), |mut bytes| {
+            bytes.push(b'\n');
+            prop_assert!(WordCodec::default().decode(&mut BytesMut::from(&bytes[..])).is_err());
+            Ok(())
+        })
+        .unwrap();
+    let endless = vec![b'x'; MAX_WORD];
+    assert!(WordCodec::default().decode(&mut BytesMut::from(&endless[..])).is_err());
+}
+
+#[test]
+fn only_a_ready_younger_process_succeeds_and_limits_are_joint() {
+    let others = |states: &[State]| Others::sum(10, states.iter());
+    assert!(!others(&[state(9, true, 3), state(11, false, 1)]).succeeded);
+    let both = others(&[state(9, true, 3), state(11, true, 1)]);
+    assert!(both.succeeded && both.begun);
+    assert_eq!((both.sockets, both.shares["s-0"]), (80, Share { open: 4, budget: 1.0 }));
+}
+
+#[test]
+fn what_is_kept_is_read_again_and_a_torn_file_is_none() {
+    let folder = std::env::temp_dir().join(format!("ashtide-kept-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (place, other) = (Place::new(&folder, "n0/../x"), Place::new(&folder, "n1"));
+    assert_eq!(place.kept(), Kept::default());
+    let kept = Kept { begun: true };
+    place.keep(&kept).expect("kept");
+    assert_eq!((place.kept(), other.kept()), (kept, Kept::default()));
+    for entry in std::fs::read_dir(&folder).expect("the folder") {
+        std::fs::write(entry.expect("an entry").path(), b"{\"begun\":").expect("torn");
+    }
+    assert_eq!(place.kept(), Kept::default());
+    std::fs::remove_dir_all(folder).expect("no folder");
+}
