--- a/src/brain.rs
+++ b/src/brain.rs
@@ -230,9 +230,12 @@
             }
             Event::ClientLeft { id } => self.finish(id),
             Event::Timer(token) => self.on_timer(now, token, actions),
+            // What is told of a server that no list has named says nothing.
+            _ if event.server().is_some_and(|server| !self.known(server)) => {}
             Event::SlowMessages { server, takes } => self.on_slow_messages(now, server, takes, actions),
             Event::Silent { server } => self.on_silent(now, server, actions),
             Event::LoadChanged { id, load } => self.on_load(id, load),
+            Event::CalledBack { server } => self.on_called_back(now, server, actions),
             Event::Beside { server, open, allowance } => self.on_beside(server, open, allowance),
             Event::Probed { .. } | Event::Mail { .. } => {}
         }
@@ -297,16 +300,14 @@
         }
         let known = self.servers[index].as_ref().map(|s| s.listing.started);
         let fresh = known != Some(entry.started) && entry.started.is_some();
-        let phase = self.rng.random::<f64>();
+        let phase = self.rng.random();
         let server = self.servers[index].get_or_insert_default();
         server.listing = entry;
         if !(server.listing.size.is_finite() && server.listing.size > 0.0) {
             server.listing.size = 1.0;
         }
         if fresh {
-            // A new start time: whatever held against the old process is void, and it is cold.
-            (server.fails, server.aside_until, server.suspect, server.shed_until) = (0, None, false, None);
-            (server.born, server.allowance, server.reckoned) = (server.listing.started, phase, now);
+            server.begin_anew(now, server.listing.started, phase);
         }
     }
 
@@ -328,13 +329,18 @@
         actions.push(Action::SetTimer { token: Alarm::Subscribe.token(), at: now + wait });
     }
 
+    /// The list may not tell yet of a restart, so it is taken for one; and it is shown at once to be used.
+    fn on_called_back(&mut self, now: Time, id: ServerId, actions: &mut Vec<Action>) {
+        self.server_mut(id).begin_anew(now, Some(now), 1.0);
+        self.recount(now);
+        self.try_held(now, actions);
+    }
+
     /// Two processes of one relay count as one: what the other may send is not sent twice.
     fn on_beside(&mut self, id: ServerId, open: u32, allowance: f64) {
-        if self.known(id) {
-            let server = self.server_mut(id);
-            if server.beside.replace(open).is_none() {
-                server.allowance = server.allowance.min(allowance);
-            }
+        let server = self.server_mut(id);
+        if server.beside.replace(open).is_none() {
+            server.allowance = server.allowance.min(allowance);
         }
     }
 
@@ -839,9 +845,6 @@
     /// A silent server serves nobody: all that this relay has there are sent away at once, and it is set
     /// aside, each time for longer, then tried with one connection until that is answered.
     fn on_silent(&mut self, now: Time, id: ServerId, actions: &mut Vec<Action>) {
-        if !self.known(id) {
-            return;
-        }
         self.on_fail(now, id, FAILS_TO_SET_ASIDE);
         self.server_mut(id).suspect = true;
         let here = |p: &Pending| p.out.as_ref().is_some_and(|out| out.established && out.server == id);
@@ -852,9 +855,6 @@
     /// A server whose messages take long has more work than it can do, whatever this relay's own
     /// count says: it is left out of the draw until word comes that it is back, or none comes.
     fn on_slow_messages(&mut self, now: Time, id: ServerId, takes: Span, actions: &mut Vec<Action>) {
-        if !self.known(id) {
-            return;
-        }
         let aims = self.settings.classes.iter().map(|c| c.message_aim).min().unwrap_or_default();
         let hot = takes >= aims.scale(HOT_MESSAGES);
         let until = now + NOTE_EVERY.scale(HOT_NOTES + self.rng.random::<f64>());
@@ -939,6 +939,15 @@
     }
 }
 
+impl Server {
+    /// A new process: whatever held against the old one is void, and it is cold.
+    fn begin_anew(&mut self, now: Time, born: Option<Time>, allowance: f64) {
+        (self.fails, self.aside_until, self.suspect, self.shed_until) = (0, None, false, None);
+        (self.hot_until, self.swamped, self.swamped_at) = (None, false, None);
+        (self.born, self.allowance, self.reckoned) = (born, allowance, now);
+    }
+}
+
 impl Pending {
     fn new(now: Time, request: &Request) -> Self {
         let load = request.load.filter(|load| load.is_finite() && *load > 0.0);
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -5,7 +5,7 @@
 //! promises whatever the module or a front does: a request gets one final answer, and never has two
 //! attempts out. It reads no clock: every call is told the time, and its wheel wakes the driver.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::poll_fn;
 use std::task::Poll;
 
@@ -148,6 +148,9 @@
     module: Balancer,
     records: BTreeMap<RequestId, Record>,
     pulses: BTreeMap<ServerId, Pulse>,
+    /// What the list says of each server, and those that operators have taken out whatever it says.
+    listed: BTreeMap<ServerId, Listing>,
+    cordoned: BTreeSet<ServerId>,
     wheel: DelayQueue<Due>,
     tick: Span,
     slow_from: Span,
@@ -173,6 +176,8 @@
             module: Balancer::new(settings, seed),
             records: BTreeMap::new(),
             pulses: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            cordoned: BTreeSet::new(),
             wheel: DelayQueue::new(),
             tick,
             slow_from,
@@ -226,7 +231,34 @@
     }
 
     /// News of the server list.
-    pub fn list(&mut self, now: Time, news: ListNews, entries: Vec<Listing>, out: &mut Vec<Effect>) {
+    pub fn list(&mut self, now: Time, news: ListNews, mut entries: Vec<Listing>, out: &mut Vec<Effect>) {
+        if matches!(news, ListNews::Whole | ListNews::Stale) {
+            self.listed.values_mut().for_each(|listing| listing.state = ServerState::Gone);
+        }
+        for entry in &mut entries {
+            self.listed.insert(entry.server, entry.clone());
+            if self.cordoned.contains(&entry.server) && entry.state == ServerState::Ready {
+                entry.state = ServerState::Draining;
+            }
+        }
+        self.apply(now, news, entries, out);
+    }
+
+    /// Operators take a server out, or put it back: until then it drains, whatever the list says.
+    pub fn cordon(&mut self, now: Time, server: ServerId, take_out: bool, out: &mut Vec<Effect>) {
+        let changed = if take_out { self.cordoned.insert(server) } else { self.cordoned.remove(&server) };
+        let Some(listing) = self.listed.get(&server).cloned().filter(|_| changed) else { return };
+        if listing.state != ServerState::Ready {
+            return;
+        }
+        let state = if take_out { ServerState::Draining } else { ServerState::Ready };
+        self.apply(now, ListNews::Changes, vec![Listing { state, ..listing }], out);
+        if !take_out {
+            self.run(now, Event::CalledBack { server }, out);
+        }
+    }
+
+    fn apply(&mut self, now: Time, news: ListNews, entries: Vec<Listing>, out: &mut Vec<Effect>) {
         let before: BTreeMap<ServerId, ServerState> =
             self.pulses.iter().map(|(&server, pulse)| (server, pulse.state)).collect();
         if matches!(news, ListNews::Whole | ListNews::Stale) {
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -50,6 +50,8 @@
     pub sockets: usize,
     /// By server's name, what it holds there.
     pub shares: BTreeMap<String, Share>,
+    /// What operators have called out.
+    pub cordons: Cordons,
 }
 
 /// One word from process to process.
@@ -113,6 +115,8 @@
     pub sockets: usize,
     /// By server's name, what they hold there.
     pub shares: BTreeMap<String, Share>,
+    /// What operators have called out at them.
+    pub cordons: Cordons,
 }
 
 impl Others {
@@ -122,6 +126,7 @@
             all.succeeded |= state.ready && state.started > started;
             all.begun |= state.begun;
             all.sockets += state.sockets;
+            all.cordons.merge(&state.cordons);
             for (server, share) in &state.shares {
                 let sum = all.shares.entry(server.clone()).or_default();
                 sum.open += share.open;
@@ -132,10 +137,54 @@
     }
 }
 
+/// The last call on a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Call {
+    /// When, in microseconds of Unix time.
+    pub at: u64,
+    /// Whether the server is out since.
+    pub out: bool,
+}
+
+/// The servers that operators have called out or back, with the last call on each. Merging two in any
+/// order, any number of times, gives the same: the later call counts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cordons(BTreeMap<String, Call>);
+
+impl Cordons {
+    /// Takes a call; whether it changes anything for the server.
+    pub fn call(&mut self, server: &str, call: Call) -> bool {
+        let last = self.0.get(server).copied();
+        if last.is_some_and(|last| last >= call) {
+            return false;
+        }
+        self.0.insert(server.to_owned(), call);
+        last.is_some_and(|last| last.out) != call.out
+    }
+
+    /// Takes another's calls; the servers for which that changes anything, and whether they are out.
+    pub fn merge(&mut self, others: &Self) -> Vec<(String, bool)> {
+        let calls = others.0.iter().filter(|(server, call)| self.call(server, **call));
+        calls.map(|(server, call)| (server.clone(), call.out)).collect()
+    }
+
+    /// Whether a server is out.
+    pub fn out(&self, server: &str) -> bool {
+        self.0.get(server).is_some_and(|call| call.out)
+    }
+
+    /// The servers that are out.
+    pub fn all_out(&self) -> impl Iterator<Item = &str> {
+        self.0.iter().filter(|(_, call)| call.out).map(|(server, _)| server.as_str())
+    }
+}
+
 /// What outlives a process, as one file.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Kept {
     /// The run has begun.
     pub begun: bool,
+    /// What operators have called out.
+    pub cordons: Cordons,
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -414,6 +414,11 @@
         /// The server.
         server: ServerId,
     },
+    /// Operators have put a server back that they had taken out. It may have been restarted meanwhile.
+    CalledBack {
+        /// The server.
+        server: ServerId,
+    },
     /// Another process of this relay, as in an upgrade, holds these connections on a server.
     Beside {
         /// The server.
@@ -450,6 +455,19 @@
     },
 }
 
+impl Event {
+    /// The server that this is word of, where it is of one server's state.
+    pub(crate) const fn server(&self) -> Option<ServerId> {
+        match self {
+            Event::SlowMessages { server, .. }
+            | Event::Silent { server }
+            | Event::CalledBack { server }
+            | Event::Beside { server, .. } => Some(*server),
+            _ => None,
+        }
+    }
+}
+
 /// What the module asks of the relay.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use super::door::{Health, Office};
+use super::door::{CordonCall, Health, Office};
 use super::handover::Post;
 use super::log::Limited;
 use crate::config::Config;
@@ -17,7 +17,7 @@
 use crate::engine::{Answer, Due, Effect, Engine};
 use crate::facts::Names;
 use crate::figures::{Count, Figures, Gauge};
-use crate::handover::Share;
+use crate::handover::{Cordons, Share};
 use crate::interface::*;
 
 /// Reports that may wait for the core before fronts have to.
@@ -99,8 +99,8 @@
     News(News),
     /// The list as an older process of this balancer has it.
     Relayed(News),
-    /// What other processes of this balancer hold, by server.
-    Beside(BTreeMap<String, Share>),
+    /// What other processes of this balancer hold, by server, and what operators have called out there.
+    Beside(BTreeMap<String, Share>, Cordons),
     /// The watch has ended.
     WatchEnded,
     /// A probe is back.
@@ -155,6 +155,8 @@
     effects: Vec<Effect>,
     health: Arc<Health>,
     post: Post,
+    /// Operators' calls; they go before all reports.
+    calls: mpsc::Receiver<CordonCall>,
     /// No exit before the first; exit at the second whatever is left.
     leaving: Option<(Instant, Instant)>,
 }
@@ -194,7 +196,7 @@
         let settings = config.facts.settings(&names)?;
         let (sender, reports) = mpsc::channel(QUEUE);
         let figures = Arc::new(Figures::new(names.classes.names()));
-        let office = Office::new(figures.clone());
+        let (office, calls) = Office::new(figures.clone());
         let handle = Handle { figures, reports: sender, ids: Arc::new(AtomicU32::new(1)) };
         let core = Self {
             engine: Engine::new(settings, config.seed, anchor),
@@ -213,6 +215,7 @@
             effects: Vec::new(),
             health: office.health.clone(),
             post,
+            calls,
             leaving: None,
         };
         Ok((core, handle, office))
@@ -225,6 +228,10 @@
 
     /// Serves until the process is to end.
     pub async fn run(mut self, known: Option<News>) {
+        let out: Vec<String> = self.post.cordons().all_out().map(str::to_owned).collect();
+        for server in out {
+            self.cordon(self.now(), &server, true);
+        }
         let known = known.unwrap_or(News { index: 0, snapshot: true, endpoints: Vec::new() });
         self.news(known, ListNews::Stale);
         loop {
@@ -235,10 +242,13 @@
                 None => None,
             };
             tokio::select! {
-                report = self.reports.recv() => match report {
-                    Some(report) => self.report(report),
-                    None => return,
-                },
+                biased;
+                Some(call) = self.calls.recv() => self.call(call),
+                () = tokio::time::sleep_until(end.unwrap_or_else(Instant::now)), if end.is_some() => {
+                    // What has just been answered still has to reach its clients.
+                    tokio::time::sleep(FLUSH).await;
+                    return;
+                }
                 due = self.engine.due() => {
                     let now = self.now();
                     self.engine.fire(now, due, &mut self.effects);
@@ -246,11 +256,10 @@
                         self.gauge(now);
                     }
                 }
-                () = tokio::time::sleep_until(end.unwrap_or_else(Instant::now)), if end.is_some() => {
-                    // What has just been answered still has to reach its clients.
-                    tokio::time::sleep(FLUSH).await;
-                    return;
-                }
+                report = self.reports.recv() => match report {
+                    Some(report) => self.report(report),
+                    None => return,
+                },
             }
         }
     }
@@ -326,7 +335,10 @@
                     self.news(news, ListNews::Stale);
                 }
             }
-            Report::Beside(shares) => {
+            Report::Beside(shares, cordons) => {
+                for (server, out) in self.post.merge(&cordons) {
+                    self.cordon(now, &server, out);
+                }
                 for (name, share) in shares {
                     if let Some(server) = self.names.servers.find(&name).map(ServerId) {
                         self.engine.beside(now, server, (share.open, share.budget), &mut self.effects);
@@ -346,6 +358,28 @@
         }
     }
 
+    /// Carries an operator's call out. Out twice or back twice is a yes, too; an id that was never on
+    /// the list is a no.
+    fn call(&mut self, call: CordonCall) {
+        let CordonCall { server, out, done } = call;
+        let known = self.names.servers.find(&server).is_some();
+        let kept = if known {
+            self.cordon(self.now(), &server, out);
+            self.post.call(&server, out).map_err(|error| format!("not kept: {error}"))
+        } else {
+            Err(format!("no server '{server}'"))
+        };
+        self.gauge(self.now());
+        // A caller that has gone has no use for the answer.
+        let _ = done.send(kept);
+    }
+
+    fn cordon(&mut self, now: Time, server: &str, out: bool) {
+        eprintln!("operator: {server} is {}", if out { "out" } else { "back" });
+        let server = ServerId(self.names.servers.intern(server));
+        self.engine.cordon(now, server, out, &mut self.effects);
+    }
+
     /// Logs trouble with a server.
     fn note(&self, id: RequestId, attempt: u32, what: Outcome) {
         if let Some(server) = self.engine.server_of(id) {
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -12,7 +12,7 @@
 use futures_util::StreamExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
@@ -26,6 +26,10 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 /// How long an answer may take to be written.
 const WRITE: Duration = Duration::from_secs(1);
+/// How long the core may take to carry a call out; a caller is owed its answer within a second.
+const CORE: Duration = Duration::from_millis(900);
+/// Calls that may wait for the core: each caller has one.
+const CALLS: usize = DOOR_CALLERS;
 /// After an accept that failed, the next one waits a little.
 const AFTER_FAILURE: Duration = Duration::from_millis(20);
 
@@ -55,6 +59,17 @@
     }
 }
 
+/// A call that the core carries out: take a server out, or put it back.
+#[derive(Debug)]
+pub struct CordonCall {
+    /// Which server.
+    pub server: String,
+    /// Whether it is to be out.
+    pub out: bool,
+    /// Takes whether it was done; the reason where it was not.
+    pub done: oneshot::Sender<Result<(), String>>,
+}
+
 /// What the door answers from.
 #[derive(Clone)]
 pub struct Office {
@@ -62,19 +77,31 @@
     pub figures: Arc<Figures>,
     /// Whether this process is ready.
     pub health: Arc<Health>,
+    calls: mpsc::Sender<CordonCall>,
 }
 
 impl Office {
-    /// An office with these figures, of a process that is not ready yet.
-    pub fn new(figures: Arc<Figures>) -> Self {
-        Self { figures, health: Arc::default() }
+    /// An office, and where the core takes its calls.
+    pub fn new(figures: Arc<Figures>) -> (Self, mpsc::Receiver<CordonCall>) {
+        let (calls, taken) = mpsc::channel(CALLS);
+        (Self { figures, health: Arc::default(), calls }, taken)
     }
 
-    fn answer(&self, call: &Call) -> Bytes {
+    async fn answer(&self, call: Call) -> Bytes {
         match call {
             Call::Health if self.health.is_ready() => yes("ready"),
             Call::Health => no("not ready"),
             Call::Counters => self.figures.text().into(),
+            Call::Cordon { server, out } => {
+                let (done, answered) = oneshot::channel();
+                let call = CordonCall { server, out, done };
+                let carried = async { self.calls.send(call).await.is_ok().then_some(answered.await.ok()) };
+                match timeout(CORE, carried).await {
+                    Ok(Some(Some(Ok(())))) => yes(if out { "out" } else { "back" }),
+                    Ok(Some(Some(Err(why)))) => no(why),
+                    _ => no("not carried out in time"),
+                }
+            }
         }
     }
 }
@@ -139,7 +166,7 @@
             silent.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
             if let Some((call, mut caller)) = call {
                 let answer = match call {
-                    Ok(call) => office.answer(&call),
+                    Ok(call) => office.answer(call).await,
                     Err(why) => no(why),
                 };
                 let written = async {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -17,7 +17,7 @@
 use super::core::{Handle, Report};
 use super::lobby::Lobby;
 use crate::discovery::News;
-use crate::handover::{Kept, Others, Share, State, Word, WordCodec};
+use crate::handover::{Call, Cordons, Kept, Others, Share, State, Word, WordCodec};
 
 /// How long a younger process waits for what the older has to tell, before it serves without.
 const MEET: Duration = Duration::from_millis(500);
@@ -154,10 +154,34 @@
         let sockets = self.own + self.lobby.sockets();
         self.telling.send_modify(|telling| {
             let started = telling.state.started;
-            telling.state = State { started, ready, begun, sockets, shares };
+            let cordons = self.kept.cordons.clone();
+            telling.state = State { started, ready, begun, sockets, shares, cordons };
         });
     }
 
+    /// Takes an operator's call and keeps it.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it cannot be kept; it holds for this process all the same.
+    pub fn call(&mut self, server: &str, out: bool) -> io::Result<()> {
+        self.kept.cordons.call(server, Call { at: unix_micros(), out });
+        match &self.place {
+            Some(place) => place.keep(&self.kept),
+            None => Ok(()),
+        }
+    }
+
+    /// Takes the calls that other processes had; the servers for which that changes anything.
+    pub fn merge(&mut self, cordons: &Cordons) -> Vec<(String, bool)> {
+        self.kept.cordons.merge(cordons)
+    }
+
+    /// The servers that operators have taken out.
+    pub fn cordons(&self) -> &Cordons {
+        &self.kept.cordons
+    }
+
     /// The list as it is now; it goes out with the next word of how the process stands.
     pub fn list(&mut self, list: News) {
         self.telling.send_if_modified(|telling| {
@@ -326,6 +350,6 @@
             *accepting = !others.succeeded;
             changed
         });
-        self.core.tell(Report::Beside(others.shares)).await;
+        self.core.tell(Report::Beside(others.shares, others.cordons)).await;
     }
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -13,6 +13,13 @@
     Health,
     /// The figures.
     Counters,
+    /// Take the named server out, or put it back.
+    Cordon {
+        /// Which server.
+        server: String,
+        /// Whether it is to be out.
+        out: bool,
+    },
 }
 
 /// Why a call is answered `400`.
@@ -21,7 +28,7 @@
     /// Not one of the calls.
     #[error("no such call")]
     Unknown,
-    /// A call with more words than it takes.
+    /// A call without its server, or with more words than it takes.
     #[error("wrong number of words")]
     Words,
     /// Not text.
@@ -54,12 +61,20 @@
         }
         let mut words = text.split(' ').filter(|word| !word.is_empty());
         let call = words.next().ok_or(CallError::Unknown)?;
+        let server = words.next();
+        let cordon = |out| match server {
+            Some(server) => Ok(Call::Cordon { server: server.to_owned(), out }),
+            None => Err(CallError::Words),
+        };
         let call = match call {
             "health" => Call::Health,
             "counters" => Call::Counters,
+            "cordon" => cordon(true)?,
+            "uncordon" => cordon(false)?,
             _ => return Err(CallError::Unknown),
         };
-        if words.next().is_some() { Err(CallError::Words) } else { Ok(call) }
+        let alone = matches!(call, Call::Health | Call::Counters) && server.is_some();
+        if alone || words.next().is_some() { Err(CallError::Words) } else { Ok(call) }
     }
 }
 
--- a/src/rehearsal/scenarios.rs
+++ b/src/rehearsal/scenarios.rs
@@ -499,9 +499,32 @@
     let passed = |text: &str| text.contains(&format!("passed_total{{category=\"meter\"}} {FEW}\n"));
     checks.that("and not at the first", passed(&first.call("counters").await?), "its count");
 
-    // A third that is killed leaves the clients to the second again.
+    let taken = |fleet: &Fleet, server: usize| fleet.servers[server].seen.taken.load(Ordering::Relaxed);
+    for (call, answer) in [("cordon s-0", "200"), ("cordon s-0", "200"), ("cordon s-9", "400")] {
+        let said = second.call(call).await?;
+        checks.that(call, said.starts_with(answer), said);
+    }
+    // It outlives a process, holds in the next, and is taken back there.
     let mut third = Daemon::start(program, &fleet, &options).await?;
     second.says("handover: its successor takes the clients").await?;
+    let before = taken(&fleet, 0);
+    for number in 0..FEW as u64 {
+        let (client, answer) = LineClient::open(at, 400 + number).await?;
+        checks.that("a client comes up beside the server that is out", answer.starts_with("UP "), answer);
+        drop(client);
+    }
+    checks.equal("nothing new is sent to a server that is out", taken(&fleet, 0), before);
+    let said = third.call("uncordon s-0").await?;
+    checks.that("a call back is answered", said.starts_with("200"), said);
+    second.says("operator: s-0 is back").await?;
+    let mut tries = 0;
+    while taken(&fleet, 0) == before && tries < PATIENT as u64 {
+        tries += 1;
+        drop(LineClient::open(at, 500 + tries).await?);
+    }
+    checks.that("and the server is used again", taken(&fleet, 0) > before, format!("{tries} tries"));
+
+    // A third that is killed leaves the clients to the second again.
     third.kill().await?;
     second.says("handover: this process takes the clients").await?;
 
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -142,6 +142,42 @@
     runtime.enable_time().start_paused(true).build().expect("a runtime").block_on(test)
 }
 
+#[test]
+fn a_server_taken_out_gets_nothing_whatever_the_list_says_and_then_one_at_once() {
+    with_time(async {
+        let mut world = World::new();
+        let out = ServerId(1);
+        let placed = |world: &mut World| {
+            (0..40)
+                .filter(|_| {
+                    let id = world.request();
+                    let here = world.engine.server_of(id) == Some(out);
+                    world.up(id);
+                    here
+                })
+                .count()
+        };
+        assert!(placed(&mut world) > 0);
+        for _ in 0..2 {
+            world.engine.cordon(world.now, out, true, &mut world.effects);
+        }
+        assert_eq!(placed(&mut world), 0);
+        let ready = |started| Listing { started, ..Listing::ready(out, ZoneId(0)) };
+        for news in [ListNews::Changes, ListNews::Whole] {
+            let others =
+                (0..SERVERS).filter(|&id| id != out.0).map(|id| Listing::ready(ServerId(id), ZoneId(0)));
+            let entries = others.chain([ready(Some(world.now))]).collect();
+            world.engine.list(world.now, news, entries, &mut world.effects);
+            assert_eq!(placed(&mut world), 0, "the list says that it is ready");
+        }
+        world.pass(9000).await;
+        assert_eq!(world.engine.open_on(out), 0, "its clients have been moved");
+        world.engine.cordon(world.now, out, false, &mut world.effects);
+        let back = placed(&mut world);
+        assert!((1..4).contains(&back), "used at once, but as a cold one: {back}");
+    });
+}
+
 #[test]
 fn one_final_answer_and_one_attempt_out_whatever_happens() {
     let cases = Cases { cases: 64, failure_persistence: None, ..Cases::default() };
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ashtide::handover::{Kept, MAX_WORD, Others, Share, State, Word, WordCodec};
+use ashtide::handover::{Call, Cordons, Kept, MAX_WORD, Others, Share, State, Word, WordCodec};
 use ashtide::net::handover::Place;
 use bytes::BytesMut;
 use proptest::collection::vec;
@@ -17,7 +17,9 @@
 
 fn state(started: u64, ready: bool, open: u32) -> State {
     let shares = BTreeMap::from([("s-0".to_owned(), Share { open, budget: 0.5 })]);
-    State { started, ready, begun: true, sockets: 40, shares }
+    let mut cordons = Cordons::default();
+    cordons.call("s-0", Call { at: started, out: ready });
+    State { started, ready, begun: true, sockets: 40, shares, cordons }
 }
 
 #[test]
@@ -63,14 +65,43 @@
     assert_eq!((both.sockets, both.shares["s-0"]), (80, Share { open: 4, budget: 1.0 }));
 }
 
+#[test]
+fn cordons_merge_to_the_same_in_any_order() {
+    let calls = vec((0..3_usize, 0..6_u64, any::<bool>()), 0..12);
+    runner()
+        .run(&(calls, any::<prop::sample::Index>()), |(calls, cut)| {
+            let cordons = |calls: &[(usize, u64, bool)]| {
+                let mut cordons = Cordons::default();
+                for &(server, at, out) in calls {
+                    cordons.call(["a", "b", "c"][server], Call { at, out });
+                }
+                cordons
+            };
+            let whole = cordons(&calls);
+            let (one, two) = calls.split_at(cut.index(calls.len() + 1));
+            let (mut left, mut right) = (cordons(one), cordons(two));
+            let (first, second) = (left.clone(), right.clone());
+            left.merge(&second);
+            let changed = right.merge(&first);
+            prop_assert_eq!((&left, &right), (&whole, &whole));
+            for (server, out) in changed {
+                prop_assert_eq!(right.out(&server), out);
+            }
+            prop_assert!(left.merge(&whole).is_empty());
+            Ok(())
+        })
+        .unwrap();
+}
+
 #[test]
 fn what_is_kept_is_read_again_and_a_torn_file_is_none() {
     let folder = std::env::temp_dir().join(format!("ashtide-kept-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
     let (place, other) = (Place::new(&folder, "n0/../x"), Place::new(&folder, "n1"));
     assert_eq!(place.kept(), Kept::default());
-    let kept = Kept { begun: true };
+    let kept = Kept { begun: true, cordons: state(7, true, 0).cordons };
     place.keep(&kept).expect("kept");
+    assert!(place.kept().cordons.out("s-0"));
     assert_eq!((place.kept(), other.kept()), (kept, Kept::default()));
     for entry in std::fs::read_dir(&folder).expect("the folder") {
         std::fs::write(entry.expect("an entry").path(), b"{\"begun\":").expect("torn");
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -33,7 +33,14 @@
 
 #[test]
 fn a_call_reads_the_same_however_it_is_cut() {
-    let calls = [("health\n", Call::Health), ("health\r\n", Call::Health), (" counters \n", Call::Counters)];
+    let cordon = |out| Call::Cordon { server: "s-5be2a07c".to_owned(), out };
+    let calls = [
+        ("health\n", Call::Health),
+        ("health\r\n", Call::Health),
+        (" counters \n", Call::Counters),
+        ("cordon s-5be2a07c\r\n", cordon(true)),
+        ("uncordon  s-5be2a07c\n", cordon(false)),
+    ];
     runner()
         .run(&(0..calls.len(), vec(any::<prop::sample::Index>(), 0..4)), |(which, cuts)| {
             let (line, call) = &calls[which];
@@ -57,7 +64,9 @@
         })
         .unwrap();
     assert!(matches!(fed(&[&[b'h'; MAX_CALL]]), Err(CallError::TooLong)));
-    assert!(matches!(fed(&[b"health now\n"]), Err(CallError::Words)));
+    for words in [&b"health now\n"[..], b"cordon\n", b"cordon s-0 s-1\n"] {
+        assert!(matches!(fed(&[words]), Err(CallError::Words)));
+    }
     assert!(matches!(fed(&[b"health"]), Err(CallError::Cut)));
 }
 
@@ -86,7 +95,7 @@
 
 #[tokio::test]
 async fn the_door_answers_past_any_number_of_silent_callers() {
-    let office = Office::new(Arc::new(Figures::new(&["a".to_owned()])));
+    let (office, mut calls) = Office::new(Arc::new(Figures::new(&["a".to_owned()])));
     let health = office.health.clone();
     let door = door::open("127.0.0.1:0".parse().expect("an address"), office).expect("a door");
     let mut silent = Vec::new();
@@ -99,6 +108,21 @@
     assert!(ask(door, "counters\n").await.ends_with("\nEOF\n"));
     assert!(ask(door, "helth\n").await.starts_with("400"));
     assert!(ask(door, &"x".repeat(MAX_CALL)).await.starts_with("400"));
+    let core = tokio::spawn(async move {
+        for (server, answer) in [("s-0", Ok(())), ("s-9", Err("no server".to_owned()))] {
+            let call = calls.recv().await.expect("a call");
+            assert_eq!((&call.server[..], call.out), (server, true));
+            call.done.send(answer).expect("a caller");
+        }
+        calls.recv().await
+    });
+    assert!(ask(door, "cordon s-0\n").await.starts_with("200"));
+    assert!(ask(door, "cordon s-9\n").await.starts_with("400"));
+    // A core that does not answer: a no within the second that the caller is owed.
+    let start = std::time::Instant::now();
+    assert!(ask(door, "uncordon s-0\n").await.starts_with("400"));
+    assert!(start.elapsed() < std::time::Duration::from_secs(1));
+    assert!(core.await.expect("the core's part").is_some_and(|call| !call.out));
     health.leaving();
     health.ready();
     assert!(ask(door, "health\n").await.starts_with("400"), "it is leaving");
