--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,6 +23,9 @@
 /// How many times over the relays together may fill a new server, to what warm ones hold, in the time
 /// it has to warm up. Two: a fleet in use by half leaves that much room.
 const COLD_FILL: f64 = 2.0;
+/// Part of what the tenants' shares come to that a server holds at least, when they are spread evenly:
+/// a fleet in use by half.
+const SHARES_HELD: f64 = 0.5;
 /// What a paced server is not sent now may be sent later, up to this part of the time in which too
 /// much pushes a cold one over.
 const BURST: f64 = 0.25;
@@ -147,13 +150,6 @@
     not_before: Time,
 }
 
-/// A zone's servers.
-#[derive(Default)]
-struct Zone {
-    ready: u32,
-    settled: u32,
-}
-
 /// What a timer is for; packed into its token.
 enum Alarm {
     Request(RequestId),
@@ -175,13 +171,12 @@
     /// Attempts out that are not yet established, and how many there may be.
     setting_up: u32,
     window: f64,
-    /// By zone, own open connections that a server there usually holds, and when that was reckoned.
-    usual: BTreeMap<ZoneId, (f64, Time)>,
+    /// Own open connections that a server usually holds, and when that was reckoned.
+    usual: f64,
     reckoned: Option<Time>,
-    /// How many servers each zone has ready, and when that was counted; the new ones of them.
-    zones: BTreeMap<ZoneId, Zone>,
-    recounted: Time,
+    /// The ready servers that are new, and when that was looked at.
     new: Vec<ServerId>,
+    recounted: Time,
     /// How many connections of a group this relay holds on a server.
     groups: BTreeMap<(GroupId, ServerId), u32>,
     list_fails: u32,
@@ -201,11 +196,10 @@
             held_timer: false,
             setting_up: 0,
             window: WINDOW_FIRST,
-            usual: BTreeMap::new(),
+            usual: 0.0,
             reckoned: None,
-            zones: BTreeMap::new(),
-            recounted: Time::default(),
             new: Vec::new(),
+            recounted: Time::default(),
             groups: BTreeMap::new(),
             list_fails: 0,
             started: false,
@@ -284,12 +278,6 @@
         let ready = listed.filter(|s| s.listing.state == ServerState::Ready);
         self.ready = ready.map(|s| s.listing.server).collect();
         self.new = self.ready.iter().copied().filter(|&s| self.is_new(now, s)).collect();
-        self.zones.clear();
-        for &id in &self.ready {
-            let new = self.is_new(now, id);
-            let zone = self.zones.entry(self.server(id).listing.zone).or_default();
-            (zone.ready, zone.settled) = (zone.ready + 1, zone.settled + u32::from(!new));
-        }
         self.recounted = now;
     }
 
@@ -730,7 +718,7 @@
     /// none where it is neither.
     fn pace(&self, now: Time, server: &Server) -> Option<f64> {
         let warm_within = self.settings.warm_within;
-        let usual = self.usual.get(&server.listing.zone).map_or(0.0, |u| u.0);
+        let usual = self.usual;
         let cold = server.born.filter(|_| self.is_new(now, server.listing.server)).map(|born| {
             let grown = (now.since(born).as_secs() / warm_within.as_secs()).min(1.0);
             let part = self.settings.cold_from + (1.0 - self.settings.cold_from) * grown;
@@ -743,9 +731,10 @@
         cold.map_or(back, |cold| Some(back.map_or(cold, |back| back.min(cold))))
     }
 
-    /// What a server of each zone usually holds of this relay's connections: the mean over those that
-    /// are not new, or over all where that is more. It is forgotten only over a warm-up time, as in a
-    /// deploy or after a crash the connections are on their way when it is asked for.
+    /// What a server usually holds of this relay's connections: the mean over those that are not new, or
+    /// over all where that is more, and no less than the tenants' shares let expect, as a relay that has
+    /// just started has seen nothing. It is forgotten only over a warm-up time, as in a deploy or after
+    /// a crash the connections are on their way when it is asked for.
     fn reckon_usual(&mut self, now: Time) {
         if now.since(self.recounted) > self.settings.warm_within.scale(RECOUNT) {
             self.recount(now);
@@ -753,30 +742,17 @@
         if self.reckoned.is_some_and(|at| now.since(at) < NOTE_EVERY.scale(RECKON)) {
             return;
         }
+        let held = |server: &Server| f64::from(server.open + server.beside.unwrap_or(0));
+        let all: f64 = self.servers.iter().flatten().map(held).sum();
+        let settled = |id: &&ServerId| !self.new.contains(id);
+        let settled: Vec<f64> = self.ready.iter().filter(settled).map(|&id| held(self.server(id))).collect();
+        let mean = |open: f64, n: usize| open / n.max(1) as f64;
+        let shares: f64 = self.settings.tenants.iter().map(|t| t.quota_connections).sum();
+        let expected = SHARES_HELD * mean(shares / f64::from(self.settings.relays), self.ready.len());
+        let mean = mean(all, self.ready.len()).max(mean(settled.iter().sum(), settled.len()));
+        let passed = now.since(self.reckoned.unwrap_or(now)).as_secs() / self.settings.warm_within.as_secs();
+        self.usual = mean.max(self.usual * (1.0 - passed)).max(expected);
         self.reckoned = Some(now);
-        let mut zones: BTreeMap<ZoneId, [u32; 2]> = self.zones.keys().map(|&zone| (zone, [0; 2])).collect();
-        for server in self.requests.values().filter_map(|p| p.out.as_ref()).map(|out| self.server(out.server))
-        {
-            if let Some([open, settled]) = zones.get_mut(&server.listing.zone) {
-                *open += 1;
-                *settled += u32::from(!self.is_new(now, server.listing.server));
-            }
-        }
-        for server in self.ready.iter().map(|&id| self.server(id)) {
-            let beside = server.beside.unwrap_or(0);
-            if let Some([open, settled]) = zones.get_mut(&server.listing.zone) {
-                *open += beside;
-                *settled += if self.is_new(now, server.listing.server) { 0 } else { beside };
-            }
-        }
-        for (zone, [open, settled_open]) in zones {
-            let Zone { ready: all, settled } = self.zones[&zone];
-            let mean = |open: u32, n: u32| f64::from(open) / f64::from(n.max(1));
-            let mean = mean(open, all).max(mean(settled_open, settled));
-            let (usual, reckoned) = self.usual.entry(zone).or_insert((0.0, now));
-            let passed = now.since(*reckoned).as_secs() / self.settings.warm_within.as_secs();
-            (*usual, *reckoned) = (mean.max(*usual * (1.0 - passed)), now);
-        }
     }
 
     fn spend_allowance(&mut self, id: ServerId) {
