--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,17 +14,16 @@
 
 /// Draws in search of a fit server before the whole list is walked.
 const QUICK_DRAWS: u32 = 6;
-/// How often servers are counted anew between list changes, as a part of the warm-up time.
+/// How often new servers are looked for between list changes, as a part of the warm-up time.
 const RECOUNT: f64 = 0.25;
-/// How often this relay's connections are counted by zone, as a part of the time between notes.
+/// How often this relay's connections are counted, as a part of the time between notes.
 const RECKON: f64 = 0.1;
 /// How many times the burden of the other draw a server may carry and still keep its group.
 const GROUP_KEEP: f64 = 2.0;
 /// How many times over the relays together may fill a new server, to what warm ones hold, in the time
 /// it has to warm up. Two: a fleet in use by half leaves that much room.
 const COLD_FILL: f64 = 2.0;
-/// Part of what the tenants' shares come to that a server holds at least, when they are spread evenly:
-/// a fleet in use by half.
+/// Part of what the tenants' shares come to that a server holds at least: a fleet in use by half.
 const SHARES_HELD: f64 = 0.5;
 /// What a paced server is not sent now may be sent later, up to this part of the time in which too
 /// much pushes a cold one over.
@@ -87,6 +86,10 @@
 const SHED_FIRST: f64 = 0.1;
 /// ...up to this part, and begins anew when it has not for the warm-up time.
 const SHED_LONGEST: f64 = 0.5;
+/// A server that sheds bears this part of what it held when it began to...
+const BEARS: f64 = 0.75;
+/// ...and as much again after this time.
+const BEARS_AGAIN: Span = Span::from_micros(40_000_000);
 /// After it was last swamped, a server is paced for this multiple of the warm-up time...
 const RECOVERING: f64 = 1.0;
 /// ...at this part of the pace at which connections were moved off it.
@@ -119,6 +122,11 @@
     dropped: Time,
     sheds: u32,
     shed_until: Option<Time>,
+    /// How many connections it held when it began to drop them, and how many it bears since then.
+    peak: u32,
+    bears: Option<(f64, Time)>,
+    /// It has been called back, and gets the next request.
+    owed: bool,
     /// It went silent, and has not answered a message since: it gets one connection to show itself.
     suspect: bool,
 }
@@ -283,12 +291,9 @@
 
     fn on_listing(&mut self, now: Time, entry: Listing) {
         let index = entry.server.0 as usize;
-        if index >= self.servers.len() {
-            self.servers.resize_with(index + 1, || None);
-        }
+        self.servers.resize_with(self.servers.len().max(index + 1), || None);
         let known = self.servers[index].as_ref().map(|s| s.listing.started);
-        let fresh = known != Some(entry.started) && entry.started.is_some();
-        let phase = self.rng.random();
+        let (fresh, phase) = (known != Some(entry.started) && entry.started.is_some(), self.rng.random());
         let server = self.servers[index].get_or_insert_default();
         server.listing = entry;
         if !(server.listing.size.is_finite() && server.listing.size > 0.0) {
@@ -317,9 +322,11 @@
         actions.push(Action::SetTimer { token: Alarm::Subscribe.token(), at: now + wait });
     }
 
-    /// The list may not tell yet of a restart, so it is taken for one; and it is shown at once to be used.
+    /// The list may not tell yet of a restart, so it is cold; and the next request shows that it is used.
     fn on_called_back(&mut self, now: Time, id: ServerId, actions: &mut Vec<Action>) {
-        self.server_mut(id).begin_anew(now, Some(now), 1.0);
+        let born = self.server(id).born.filter(|_| self.is_new(now, id)).or(Some(now));
+        self.server_mut(id).begin_anew(now, born, 1.0);
+        self.server_mut(id).owed = true;
         self.recount(now);
         self.try_held(now, actions);
     }
@@ -327,9 +334,8 @@
     /// Two processes of one relay count as one: what the other may send is not sent twice.
     fn on_beside(&mut self, id: ServerId, open: u32, allowance: f64) {
         let server = self.server_mut(id);
-        if server.beside.replace(open).is_none() {
-            server.allowance = server.allowance.min(allowance);
-        }
+        let most = server.beside.map_or(allowance, |_| server.allowance);
+        (server.allowance, server.beside) = (server.allowance.min(most), Some(open));
     }
 
     // ---- A request arrives ----------------------------------------------------------------
@@ -387,15 +393,20 @@
     }
 
     /// The ordinary path: of two fit servers drawn at random with replacement, the one with
-    /// fewest of this relay's own open connections; the first drawn wins a tie. While new servers have
-    /// an allowance left, the first draw is among them: in a large fleet a relay would seldom draw
-    /// them otherwise, and they would idle while the old ones are overrun. No draw keeps to the own
-    /// zone: where that has one server, it would get two thirds of all that comes, however full it is.
+    /// fewest of this relay's own open connections; the first drawn wins a tie. While new servers have an
+    /// allowance left, one draw is among them: they would idle while the old ones are overrun. No draw
+    /// keeps to the own zone: where that has one server, it would get two thirds of all that comes.
     fn choose(&mut self, now: Time, request: &Pending) -> Option<ServerId> {
         self.reckon_usual(now);
+        let owes = |id: &&ServerId| self.server(**id).owed && self.may_get(now, request, **id);
+        if let Some(&owed) = self.new.iter().find(owes) {
+            return Some(owed);
+        }
         let home = self.home(now, request);
-        let first = home.or_else(|| self.draw(now, request, true)).or_else(|| self.draw(now, request, false));
-        let (first, second) = match (first, self.draw(now, request, false)) {
+        let new = self.draw(now, request, true);
+        let first = home.or(new).or_else(|| self.draw(now, request, false));
+        let second = new.filter(|_| home.is_some()).or_else(|| self.draw(now, request, false));
+        let (first, second) = match (first, second) {
             (Some(first), Some(second)) => (first, second),
             (first, _) => {
                 let fit = self.fit(now, request);
@@ -412,10 +423,8 @@
     fn draw(&mut self, now: Time, request: &Pending, new: bool) -> Option<ServerId> {
         for _ in 0..QUICK_DRAWS {
             let pool = if new { &self.new } else { &self.ready };
-            if pool.is_empty() {
-                return None;
-            }
-            let server = pool[self.rng.random_range(0..pool.len())];
+            let at = (!pool.is_empty()).then(|| self.rng.random_range(0..pool.len()))?;
+            let server = pool[at];
             if self.rung(now, request, self.server(server)) == 0
                 && (!new || self.is_new(now, server))
                 && self.may_get(now, request, server)
@@ -446,8 +455,7 @@
     fn burden(&self, id: ServerId) -> f64 {
         let server = self.server(id);
         let priced = self.settings.prices.cross_zone > 0.0 && server.listing.zone != self.settings.zone;
-        f64::from(server.open + server.beside.unwrap_or(0) + 1) / server.listing.size
-            * if priced { FAR } else { 1.0 }
+        f64::from(server.held() + 1) / server.listing.size * if priced { FAR } else { 1.0 }
     }
 
     /// The servers fit for this request, on the first rung of the ladder that has any: when all are
@@ -476,7 +484,7 @@
         let on_trial = server.suspect && server.open > 0;
         let set_aside = on_trial || server.aside_until.is_some_and(|until| now < until);
         let hot = server.hot_until.is_some_and(|until| now < until);
-        let sheds = server.shed_until.is_some_and(|until| now < until);
+        let sheds = server.shed_until.is_some_and(|until| now < until) || server.laden(now);
         match () {
             () if hot && server.swamped => LADDER,
             () if set_aside => 3,
@@ -696,9 +704,9 @@
 
     // ---- Cold starts ----------------------------------------------------------------------
 
-    /// Rule 4: a cold server holds none of anybody's connections, so it wins every comparison at
-    /// every relay. Each relay sends it at most its own part of what fills it over its warm-up; the
-    /// first connection is left to chance, as a whole one each from a hundred relays is a wave.
+    /// Rule 4: a cold server holds nothing, so it wins every comparison at every relay. Each sends it at
+    /// most its own part of what fills it over its warm-up; the first connection is left to chance, as a
+    /// whole one each from a hundred relays is a wave.
     fn allows(&mut self, now: Time, id: ServerId) -> bool {
         let Some(rate) = self.pace(now, self.server(id)) else { return true };
         let burst = (rate * self.settings.overload_for.as_secs() * BURST).max(1.0);
@@ -742,14 +750,13 @@
         if self.reckoned.is_some_and(|at| now.since(at) < NOTE_EVERY.scale(RECKON)) {
             return;
         }
-        let held = |server: &Server| f64::from(server.open + server.beside.unwrap_or(0));
+        let held = |server: &Server| f64::from(server.held());
         let all: f64 = self.servers.iter().flatten().map(held).sum();
-        let settled = |id: &&ServerId| !self.new.contains(id);
-        let settled: Vec<f64> = self.ready.iter().filter(settled).map(|&id| held(self.server(id))).collect();
-        let mean = |open: f64, n: usize| open / n.max(1) as f64;
+        let old = self.ready.iter().filter(|id| !self.new.contains(id)).map(|&id| held(self.server(id)));
+        let (settled, mean) = (old.clone().sum(), |open: f64, n: usize| open / n.max(1) as f64);
         let shares: f64 = self.settings.tenants.iter().map(|t| t.quota_connections).sum();
         let expected = SHARES_HELD * mean(shares / f64::from(self.settings.relays), self.ready.len());
-        let mean = mean(all, self.ready.len()).max(mean(settled.iter().sum(), settled.len()));
+        let mean = mean(all, self.ready.len()).max(mean(settled, old.count()));
         let passed = now.since(self.reckoned.unwrap_or(now)).as_secs() / self.settings.warm_within.as_secs();
         self.usual = mean.max(self.usual * (1.0 - passed)).max(expected);
         self.reckoned = Some(now);
@@ -757,7 +764,7 @@
 
     fn spend_allowance(&mut self, id: ServerId) {
         let server = self.server_mut(id);
-        server.allowance = (server.allowance - 1.0).max(0.0);
+        (server.allowance, server.owed) = ((server.allowance - 1.0).max(0.0), false);
     }
 
     // ---- Health ---------------------------------------------------------------------------
@@ -808,8 +815,15 @@
         let jitter = 0.75 + 0.5 * self.rng.random::<f64>();
         let server = self.server_mut(id);
         let passed = now.since(server.dropped).as_secs() / DROPS_WITHIN.as_secs();
+        if server.drops <= SHEDDING * passed {
+            server.peak = server.held() + 1;
+        }
         (server.drops, server.dropped) = ((server.drops - SHEDDING * passed).max(0.0) + 1.0, now);
-        if server.drops < SHEDDING || server.shed_until.is_some_and(|until| now < until) {
+        if server.drops < SHEDDING {
+            return;
+        }
+        server.bears = Some((BEARS * f64::from(server.peak), now));
+        if server.shed_until.is_some_and(|until| now < until) {
             return;
         }
         let again = server.shed_until.is_some_and(|until| now.since(until) < warm_within);
@@ -846,10 +860,9 @@
     }
 
     /// Placed connections stay put, but on a swamped server all of them are lost to their clients for as
-    /// long as it lasts. Each word of it lets a small part of this relay's connections there go, also
-    /// when there is nowhere to go, so that the rest are served: those of least worth for their load,
-    /// and the heaviest of these, as they bring most relief. A part below one is left to chance, so
-    /// that many relays holding one each do not all let go at once.
+    /// long as it lasts. Each word of it lets a small part go, also when there is nowhere to go, so that
+    /// the rest are served: those of least worth for their load, and the heaviest of these. A part below
+    /// one is left to chance, so that not all relays holding one each let go at once.
     fn relieve(&mut self, id: ServerId, actions: &mut Vec<Action>) {
         let loads = || self.requests.values().filter_map(|p| p.load);
         let mean = loads().sum::<f64>() / loads().count() as f64;
@@ -916,10 +929,21 @@
 }
 
 impl Server {
+    /// What this relay holds there, in all its processes.
+    fn held(&self) -> u32 {
+        self.open + self.beside.unwrap_or(0)
+    }
+
+    /// Whether it holds as much as it is taken to bear.
+    fn laden(&self, now: Time) -> bool {
+        let grown = |since| 1.0 + now.since(since).as_secs() / BEARS_AGAIN.as_secs();
+        self.bears.is_some_and(|(bears, since)| f64::from(self.held()) >= bears * grown(since))
+    }
+
     /// A new process: whatever held against the old one is void, and it is cold.
     fn begin_anew(&mut self, now: Time, born: Option<Time>, allowance: f64) {
         (self.fails, self.aside_until, self.suspect, self.shed_until) = (0, None, false, None);
-        (self.hot_until, self.swamped, self.swamped_at) = (None, false, None);
+        (self.hot_until, self.swamped, self.swamped_at, self.bears) = (None, false, None, None);
         (self.born, self.allowance, self.reckoned) = (born, allowance, now);
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -486,3 +486,80 @@
     assert_eq!(final_answers(&end, 1), 1);
     assert!(relay.ended(3.02, 1, 0, Outcome::Failed).is_empty(), "nothing goes out after the answer");
 }
+
+/// A relay that has just started, before servers of which `cold` began a moment ago.
+fn beside_cold_ones(settings: Settings, servers: u32, cold: u32) -> Relay {
+    let mut relay = Relay { module: Balancer::new(settings, 1), actions: Vec::new() };
+    let started = |number| (number < cold).then(|| at(100.0));
+    let entries = (0..servers).map(|number| Listing { started: started(number), ..listing(number) });
+    relay.list(101.0, ListNews::Whole, entries.collect());
+    relay
+}
+
+#[test]
+fn a_relay_that_has_seen_nothing_fills_new_servers_by_the_tenants_shares() {
+    let share = |quota_connections| vec![Tenant { quota_per_s: 9.0, quota_connections }];
+    let placed = |tenants| {
+        let mut relay = beside_cold_ones(Settings { tenants, ..settings(Effect::Safe) }, 3, 2);
+        let servers = (0..80).map(|id| {
+            let now = 101.0 + f64::from(id) * 0.05;
+            let server = relay.request(now, id).expect("a server is ready");
+            relay.established(now, id, 0);
+            server.0
+        });
+        servers.filter(|&server| server < 2).count()
+    };
+    let (none, some) = (placed(Vec::new()), placed(share(180.0)));
+    assert!(some > none + 10 && some < 60, "{none} without shares, {some} with them");
+}
+
+#[test]
+fn a_server_that_shed_is_not_filled_beyond_what_it_bears() {
+    let mut relay = filled(settings(Effect::Safe), 3, 20, 1.0);
+    for id in (0..36).step_by(3) {
+        relay.event(
+            1.0,
+            Event::Ended {
+                id: RequestId(100_000 + id),
+                attempt: 0,
+                outcome: Outcome::Reset,
+                request_over: true,
+            },
+        );
+    }
+    assert_eq!(relay.module.open_connections(ServerId(0)), 8);
+    // Long after the rest that it is given at first.
+    for id in 0..60 {
+        relay.request(5.0, id).expect("three servers are ready");
+        relay.established(5.0, id, 0);
+    }
+    let open = relay.module.open_connections(ServerId(0));
+    assert!((14..18).contains(&open), "{open} of the 20 at which it began to drop them");
+}
+
+#[test]
+fn a_server_that_was_called_back_gets_the_next_request_whatever_was_held_against_it() {
+    let mut relay = filled(settings(Effect::Safe), 3, 5, 1.0);
+    let state = |state| vec![Listing { state, ..listing(2) }];
+    for id in (2..15).step_by(3) {
+        relay.event(
+            1.0,
+            Event::Ended {
+                id: RequestId(100_000 + id),
+                attempt: 0,
+                outcome: Outcome::Reset,
+                request_over: true,
+            },
+        );
+    }
+    relay.list(1.0, ListNews::Changes, state(ServerState::Draining));
+    relay.event(1.1, Event::Silent { server: ServerId(2) });
+    relay.list(1.2, ListNews::Changes, state(ServerState::Ready));
+    assert!(relay.module.avoids(at(1.2), ServerId(2)));
+    relay.event(1.2, Event::CalledBack { server: ServerId(2) });
+    assert!(!relay.module.avoids(at(1.2), ServerId(2)));
+    assert_eq!(relay.request(1.3, 1), Some(ServerId(2)));
+    relay.established(1.3, 1, 0);
+    let more = (2..40).filter(|&id| relay.request(1.3, id) == Some(ServerId(2))).count();
+    assert!(more < 3, "it may be cold: {more}");
+}
