--- a/src/brain.rs
+++ b/src/brain.rs
@@ -559,7 +559,7 @@
         let server = out.server;
         request.over = true;
         let aim = self.settings.classes[request.class.0 as usize].aim;
-        self.on_set_up(after < aim.scale(QUICK));
+        self.on_set_up(now, server, after < aim.scale(QUICK));
         self.server_did_well(server);
         self.try_held(now, actions);
     }
@@ -570,10 +570,10 @@
         }
     }
 
-    /// A set-up has left the window, quick or not.
-    fn on_set_up(&mut self, quick: bool) {
+    /// A set-up has left the window, quick or not. At a server that stands out it says nothing of others.
+    fn on_set_up(&mut self, now: Time, server: ServerId, quick: bool) {
         self.setting_up = self.setting_up.saturating_sub(1);
-        if quick {
+        if quick || self.avoids(now, server) {
             self.window = (self.window + WINDOW_GROWS / self.window).min(WINDOW_FIRST);
         } else {
             self.window = (self.window * WINDOW_SHRINKS).max(1.0);
@@ -601,7 +601,7 @@
         let over = request.over || request_over;
         if !out.established {
             match outcome {
-                Outcome::Failed | Outcome::TimedOut => self.on_set_up(false),
+                Outcome::Failed | Outcome::TimedOut => self.on_set_up(now, out.server, false),
                 _ => self.setting_up = self.setting_up.saturating_sub(1),
             }
         }
