--- a/src/net/lobby.rs
+++ b/src/net/lobby.rs
@@ -1,6 +1,6 @@
 //! Clients that have no session: those that have not said what they want, and those that wait for
 //! the end after an error. They share what descriptors the sessions leave, and the one that has been
-//! there longest makes room for the next: a client that means well speaks at once.
+//! there longest without a byte makes room for the next, and only then one that has begun to speak.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -25,7 +25,15 @@
     /// Descriptors that another process of this balancer uses: the limit is for both.
     beside: usize,
     arrivals: u64,
-    waiting: BTreeMap<u64, oneshot::Sender<()>>,
+    /// By arrival, those that have not sent a byte, and those that have.
+    silent: BTreeMap<u64, oneshot::Sender<()>>,
+    spoken: BTreeMap<u64, oneshot::Sender<()>>,
+}
+
+impl Inside {
+    fn waiting(&self) -> usize {
+        self.silent.len() + self.spoken.len()
+    }
 }
 
 /// A client's place. It is given back when dropped.
@@ -64,15 +72,16 @@
         let mut inside = self.inside();
         let most = self.room.waiting(inside.sessions, inside.beside);
         let mut crowded = false;
-        while inside.waiting.len() >= most {
+        while inside.waiting() >= most {
             crowded = true;
-            if let Some((_, oldest)) = inside.waiting.pop_first() {
+            let oldest = inside.silent.pop_first().or_else(|| inside.spoken.pop_first());
+            if let Some((_, oldest)) = oldest {
                 let _ = oldest.send(());
             }
         }
         inside.arrivals += 1;
         let number = inside.arrivals;
-        inside.waiting.insert(number, sender);
+        inside.silent.insert(number, sender);
         drop(inside);
         (Place { lobby: self.clone(), number, displaced }, crowded)
     }
@@ -85,12 +94,12 @@
     /// Descriptors that clients use.
     pub fn sockets(&self) -> usize {
         let inside = self.inside();
-        2 * inside.sessions + inside.waiting.len()
+        2 * inside.sessions + inside.waiting()
     }
 
     /// Whether clients are here that have no session.
     pub fn waits(&self) -> bool {
-        !self.inside().waiting.is_empty()
+        self.inside().waiting() > 0
     }
 
     /// A connection has come up that did not stand before: the run has begun, and with it the time
@@ -105,7 +114,28 @@
     }
 }
 
+/// Who is at a place, for the lobby to hear of.
+pub struct Heard {
+    lobby: Lobby,
+    number: u64,
+}
+
+impl Heard {
+    /// The client has sent a byte: some that mean well need seconds for their line, but all begin.
+    pub fn spoke(&self) {
+        let mut inside = self.lobby.inside();
+        if let Some(sender) = inside.silent.remove(&self.number) {
+            inside.spoken.insert(self.number, sender);
+        }
+    }
+}
+
 impl Place {
+    /// Tells the lobby when the client is heard.
+    pub fn heard(&self) -> Heard {
+        Heard { lobby: self.lobby.clone(), number: self.number }
+    }
+
     /// Waits until another client needs the place.
     pub async fn displaced(&mut self) {
         // The sender is only dropped with the place.
@@ -115,7 +145,9 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.lobby.inside().waiting.remove(&self.number);
+        let mut inside = self.lobby.inside();
+        inside.silent.remove(&self.number);
+        inside.spoken.remove(&self.number);
     }
 }
 
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -17,7 +17,7 @@
 use tokio_util::codec::FramedRead;
 
 use super::core::{Ask, COMMANDS, Command, Handle, Report, duration};
-use super::lobby::{Lobby, Permit, Place};
+use super::lobby::{Heard, Lobby, Permit, Place};
 use super::log::Limited;
 use crate::engine::Answer;
 use crate::figures::Count;
@@ -27,9 +27,9 @@
     ServerEvent, ServerSide, busy,
 };
 
-/// From its arrival on, a client has so long to say what it wants, whatever it says before: a bad one
-/// is owed an end within 3 s.
-const FIRST_LINE: Duration = Duration::from_millis(2000);
+/// From its arrival on, a client has so long to say what it wants, whatever it says before: a true one
+/// may take 2 s to write its line, and a bad one is owed an end within 3 s.
+const FIRST_LINE: Duration = Duration::from_millis(2600);
 /// How long a last line may take to be written.
 const LAST_LINE: Duration = Duration::from_millis(500);
 /// How long a socket that has been ended waits for its other end, so that no reset overtakes the
@@ -144,9 +144,10 @@
     /// Serves one client. Its place is kept until it has a session or has gone.
     pub async fn meet(self, client: TcpStream, mut place: Place) {
         let (mut client, mut side) = (Peer::new(client), ClientSide::default());
+        let heard = place.heard();
         let first = tokio::select! {
             biased;
-            first = first(&mut client, &mut side) => first,
+            first = first(&mut client, &mut side, &heard) => first,
             () = place.displaced() => {
                 let _ = client.write.try_write(&busy(OVER_LIMIT));
                 return;
@@ -219,9 +220,12 @@
 }
 
 /// Reads until the client has said what it wants or its time is up.
-async fn first(client: &mut Peer, side: &mut ClientSide) -> First {
+async fn first(client: &mut Peer, side: &mut ClientSide, heard: &Heard) -> First {
     let by = Instant::now() + FIRST_LINE;
     let mut asked = false;
+    if timeout_at(by, client.lines.get_ref().readable()).await.is_ok() {
+        heard.spoke();
+    }
     loop {
         let line = match timeout_at(by, client.lines.next()).await {
             Ok(Some(Ok(line))) => line,
