--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -513,20 +513,18 @@
     assert!(some >= 2 * none && some < 20, "{none} without shares, {some} with them");
 }
 
+/// Some of the connections that the relay was filled with break.
+fn drop_some(relay: &mut Relay, ids: impl Iterator<Item = u32>) {
+    for id in ids {
+        let (id, outcome) = (RequestId(100_000 + id), Outcome::Reset);
+        relay.event(1.0, Event::Ended { id, attempt: 0, outcome, request_over: true });
+    }
+}
+
 #[test]
 fn a_server_that_shed_is_not_filled_beyond_what_it_bears() {
     let mut relay = filled(settings(Effect::Safe), 3, 20, 1.0);
-    for id in (0..36).step_by(3) {
-        relay.event(
-            1.0,
-            Event::Ended {
-                id: RequestId(100_000 + id),
-                attempt: 0,
-                outcome: Outcome::Reset,
-                request_over: true,
-            },
-        );
-    }
+    drop_some(&mut relay, (0..36).step_by(3));
     assert_eq!(relay.module.open_connections(ServerId(0)), 8);
     // Long after the rest that it is given at first.
     for id in 0..60 {
@@ -541,17 +539,7 @@
 fn a_server_that_was_called_back_gets_the_next_request_whatever_was_held_against_it() {
     let mut relay = filled(settings(Effect::Safe), 3, 5, 1.0);
     let state = |state| vec![Listing { state, ..listing(2) }];
-    for id in (2..15).step_by(3) {
-        relay.event(
-            1.0,
-            Event::Ended {
-                id: RequestId(100_000 + id),
-                attempt: 0,
-                outcome: Outcome::Reset,
-                request_over: true,
-            },
-        );
-    }
+    drop_some(&mut relay, (2..15).step_by(3));
     relay.list(1.0, ListNews::Changes, state(ServerState::Draining));
     relay.event(1.1, Event::Silent { server: ServerId(2) });
     relay.list(1.2, ListNews::Changes, state(ServerState::Ready));
