Workspace: the wire and the rehearsal in crates of their own, no circle in src/net

The rehearsal moves to crates/ashtide-rehearsal. What fronts and core say to each other moves to net/report.rs and the listeners to net/socket.rs, so that core, door, handover, listen and session no longer import in a circle.

--- a/src/bin/ashtide-rehearse.rs
+++ b/crates/ashtide-rehearsal/src/bin/ashtide-rehearse.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use ashtide::rehearsal::scenarios::{MIGRANTS, NAMES, play};
+use ashtide_rehearsal::scenarios::{MIGRANTS, NAMES, play};
 
 const USAGE: &str = "usage: ashtide-rehearse [--daemon FILE] [--clients N] [SCENARIO ...]";
 /// Stand-in clients that a rehearsal may have: it checks correctness and is no load.
--- a/src/rehearsal/clients.rs
+++ b/crates/ashtide-rehearsal/src/clients.rs
@@ -16,15 +16,15 @@
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
-use super::fleet::{CLIENT_ID, PACKET, crypto_frame};
-use super::{ID_LENGTH, RESET_KEY, RehearsalError, within};
-use crate::config::hex;
-use crate::lines::LineCodec;
-use crate::quic::header::{MIN_INITIAL, put_long};
-use crate::quic::initial::{self, Side};
-use crate::quic::placing::{SERVER_ID, ServerKey, server_of};
-use crate::quic::reset::{ResetKey, TOKEN};
-use crate::quic::{ConnectionId, Header, LongKind};
+use crate::fleet::{CLIENT_ID, PACKET, crypto_frame};
+use crate::{ID_LENGTH, RESET_KEY, RehearsalError, within};
+use ashtide::config::hex;
+use ashtide::quic::header::{MIN_INITIAL, put_long};
+use ashtide::quic::initial::{self, Side};
+use ashtide::quic::placing::{SERVER_ID, ServerKey, server_of};
+use ashtide::quic::reset::{ResetKey, TOKEN};
+use ashtide::quic::{ConnectionId, Header, LongKind};
+use ashtide_wire::LineCodec;
 
 /// Clients that speak at the same time: few enough for every socket's queue.
 const AT_ONCE: usize = 40;
--- a/src/rehearsal/daemon.rs
+++ b/crates/ashtide-rehearsal/src/daemon.rs
@@ -14,8 +14,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::fleet::Fleet;
-use super::{ID_LENGTH, RESET_KEY, RehearsalError, within};
+use crate::fleet::Fleet;
+use crate::{ID_LENGTH, RESET_KEY, RehearsalError, within};
 
 /// How long the daemon of a scenario gives an Initial, in milliseconds.
 pub const DEADLINE_MS: u32 = 1500;
--- a/src/rehearsal/fleet.rs
+++ b/crates/ashtide-rehearsal/src/fleet.rs
@@ -15,12 +15,12 @@
 use tokio::task::JoinSet;
 use tokio_util::codec::FramedRead;
 
-use super::{ID_LENGTH, RehearsalError};
-use crate::lines::{LineCodec, PONG};
-use crate::quic::header::MIN_INITIAL;
-use crate::quic::initial::{self, CONNECTION_REFUSED, Side};
-use crate::quic::placing::{issue, server_key};
-use crate::quic::{ConnectionId, Header, LongKind};
+use crate::{ID_LENGTH, RehearsalError};
+use ashtide::quic::header::MIN_INITIAL;
+use ashtide::quic::initial::{self, CONNECTION_REFUSED, Side};
+use ashtide::quic::placing::{issue, server_key};
+use ashtide::quic::{ConnectionId, Header, LongKind};
+use ashtide_wire::{LineCodec, PONG};
 
 /// Length of the ids that stand-in clients choose for themselves.
 pub const CLIENT_ID: usize = 8;
--- a/src/rehearsal/scenarios.rs
+++ b/crates/ashtide-rehearsal/src/scenarios.rs
@@ -7,13 +7,13 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Duration, Instant};
 
-use super::clients::{Clients, LineClient, Pool, short};
-use super::daemon::{DEADLINE_MS, Daemon, Options, Shared};
-use super::fleet::{Fleet, Mood};
-use super::{Checks, ID_LENGTH, RehearsalError, within};
-use crate::quic::ConnectionId;
-use crate::quic::initial::CONNECTION_REFUSED;
-use crate::quic::placing::{issue, server_key};
+use crate::clients::{Clients, LineClient, Pool, short};
+use crate::daemon::{DEADLINE_MS, Daemon, Options, Shared};
+use crate::fleet::{Fleet, Mood};
+use crate::{Checks, ID_LENGTH, RehearsalError, within};
+use ashtide::quic::ConnectionId;
+use ashtide::quic::initial::CONNECTION_REFUSED;
+use ashtide::quic::placing::{issue, server_key};
 
 /// The names of all scenarios.
 pub const NAMES: [&str; 10] = [
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,11 +53,10 @@
 pub mod facts;
 pub mod figures;
 pub mod handover;
-pub mod lines;
 pub mod net;
+pub mod open_ids;
 pub mod operator;
 pub mod quic;
-pub mod rehearsal;
 pub mod vrrp;
 
 pub use brain::Balancer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,10 +3,11 @@
 use std::process::ExitCode;
 
 use ashtide::config::{Config, Fronts};
-use ashtide::net::core::{Core, Report, duration};
+use ashtide::net::core::Core;
 use ashtide::net::handover::{self, Place, Post};
 use ashtide::net::lobby::Lobby;
-use ashtide::net::{discovery, door, listen, quic, reload, session, vrrp};
+use ashtide::net::report::{Report, duration};
+use ashtide::net::{discovery, door, listen, quic, reload, session, socket, vrrp};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
@@ -39,8 +40,8 @@
 async fn run(config: Config, fronts: Fronts) -> Result<(), Box<dyn std::error::Error>> {
     // Both before anything listens: without a handler, either ends the process on the spot.
     let listener = match config.inherited {
-        Some(number) => listen::adopt(number).map_err(|e| format!("ROUTER_INHERITED_FD: '{number}': {e}"))?,
-        None => listen::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?,
+        Some(number) => socket::adopt(number).map_err(|e| format!("ROUTER_INHERITED_FD: '{number}': {e}"))?,
+        None => socket::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?,
     };
     let started = handover::unix_micros();
     let mut terminate = signal(SignalKind::terminate())?;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::sync::{mpsc, watch};
@@ -12,18 +11,17 @@
 use super::door::{CordonCall, Health, Office};
 use super::handover::Post;
 use super::log::Limited;
+use super::report::{Ask, Command, Handle, Port, Report, duration, span};
 use crate::config::Config;
 use crate::discovery::{Entry, News, Status};
 use crate::engine::{Answer, Due, Effect, Engine};
 use crate::facts::Names;
-use crate::figures::{Count, Figures, Gauge};
-use crate::handover::{Cordons, Share};
+use crate::figures::{Figures, Gauge};
+use crate::handover::Share;
 use crate::interface::*;
 
 /// Reports that may wait for the core before fronts have to.
 const QUEUE: usize = 1024;
-/// Commands that may wait for one session: more than all attempts of a request need.
-pub const COMMANDS: usize = 32;
 /// Servers whose names are remembered; further new ones are passed over.
 const MAX_SERVERS: usize = 4096;
 /// Of the time between SIGTERM and SIGKILL, the last part is kept free for closing.
@@ -35,106 +33,6 @@
 
 static TROUBLE: Limited = Limited::new("server");
 
-/// What a client asks for, in the words of its front.
-#[derive(Debug, Clone, Default)]
-pub struct Ask {
-    /// The class's name.
-    pub class: String,
-    /// The tenant's name.
-    pub tenant: Option<String>,
-    /// The group's name.
-    pub group: Option<String>,
-    /// How long the client waits.
-    pub wait: Span,
-    /// Expected load.
-    pub load: Option<f64>,
-}
-
-/// What the core asks of a front.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Command {
-    /// Make an attempt.
-    Attempt {
-        /// Its number.
-        attempt: u32,
-        /// Where.
-        address: SocketAddr,
-        /// How long the core will wait.
-        timeout: Span,
-    },
-    /// Give the attempt up.
-    Close {
-        /// Its number.
-        attempt: u32,
-    },
-    /// Give the final answer.
-    Answer(Answer),
-    /// Send the client of the standing connection away.
-    Move,
-}
-
-/// Where a front takes its commands.
-pub type Port = mpsc::Sender<(RequestId, Command)>;
-
-/// What fronts and drivers tell the core.
-#[derive(Debug)]
-pub enum Report {
-    /// A client asks for a connection.
-    Request(RequestId, Ask, Port),
-    /// A connection that stood on the named server before.
-    Existing(RequestId, Ask, String, Port),
-    /// An attempt's connection stands.
-    Up(RequestId, u32),
-    /// An attempt or connection has ended.
-    Ended(RequestId, u32, Outcome),
-    /// The client has gone.
-    Left(RequestId),
-    /// A message was passed to the server; and whether its answer is due at once.
-    Asked(RequestId, bool),
-    /// The server sent something.
-    Answered(RequestId),
-    /// The connection's load now, in seconds of work a second.
-    Load(RequestId, f64),
-    /// News of the list.
-    News(News),
-    /// The list as an older process of this balancer has it.
-    Relayed(News),
-    /// What other processes of this balancer hold, by server, and what operators have called out there.
-    Beside(BTreeMap<String, Share>, Cordons),
-    /// The watch has ended.
-    WatchEnded,
-    /// A probe is back.
-    Probed(ServerId, bool),
-    /// Leave within this time.
-    Leave(Duration),
-}
-
-/// What a front holds of the core.
-#[derive(Clone)]
-pub struct Handle {
-    figures: Arc<Figures>,
-    reports: mpsc::Sender<Report>,
-    ids: Arc<AtomicU32>,
-}
-
-impl Handle {
-    /// A new request's id.
-    pub fn next_id(&self) -> RequestId {
-        RequestId(self.ids.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// Counts one of this class.
-    pub fn count(&self, count: Count, class: &str) {
-        self.figures.count(count, class);
-    }
-
-    /// Tells the core; waits while it has much to do.
-    pub async fn tell(&self, report: Report) {
-        // The core only ends with the process.
-        let _ = self.reports.send(report).await;
-    }
-}
-
 /// The core's driver.
 pub struct Core {
     engine: Engine,
@@ -170,15 +68,6 @@
     GroupId(hash)
 }
 
-/// A span as the runtime counts it.
-pub fn duration(span: Span) -> Duration {
-    Duration::from_micros(u64::try_from(span.as_micros()).unwrap_or_default())
-}
-
-fn span(duration: Duration) -> Span {
-    Span::from_micros(i64::try_from(duration.as_micros()).unwrap_or(i64::MAX))
-}
-
 impl Core {
     /// A core for this configuration; `subscribe` asks the list's driver to watch.
     ///
@@ -197,7 +86,7 @@
         let (sender, reports) = mpsc::channel(QUEUE);
         let figures = Arc::new(Figures::new(names.classes.names()));
         let (office, calls) = Office::new(figures.clone());
-        let handle = Handle { figures, reports: sender, ids: Arc::new(AtomicU32::new(1)) };
+        let handle = Handle::new(figures, sender);
         let core = Self {
             engine: Engine::new(settings, config.seed, anchor),
             names,
@@ -266,7 +155,7 @@
 
     /// Tells the figures what is so now.
     fn gauge(&mut self, now: Time) {
-        let figures = &self.handle.figures;
+        let figures = self.handle.figures();
         figures.set(Gauge::InProgress, self.engine.open());
         figures.set(Gauge::Known, self.listed.len());
         figures.set(Gauge::Skipped, self.engine.avoided(now));
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
-use super::core::{Handle, Report};
+use super::report::{Handle, Report};
 use crate::discovery::{WatchCodec, WatchError, WatchEvent, watch_request};
 
 /// A call that has not begun to answer by then has failed.
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -16,8 +16,8 @@
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
-use super::listen;
 use super::log::Limited;
+use super::socket;
 use crate::config::DOOR_CALLERS;
 use crate::figures::Figures;
 use crate::operator::{Call, CallCodec, CallError, no, yes};
@@ -115,7 +115,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let listener = {
         let _inside = runtime.enter();
-        listen::bind(address)?
+        socket::bind(address)?
     };
     let bound = listener.local_addr()?;
     std::thread::Builder::new()
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -14,8 +14,8 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::FramedRead;
 
-use super::core::{Handle, Report};
 use super::lobby::Lobby;
+use super::report::{Handle, Report};
 use crate::discovery::News;
 use crate::handover::{Call, Cordons, Kept, Others, Share, State, Word, WordCodec};
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,5 +10,7 @@
 pub mod probe;
 pub mod quic;
 pub mod reload;
+pub mod report;
 pub mod session;
+pub mod socket;
 pub mod vrrp;
--- a/src/net/probe.rs
+++ b/src/net/probe.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
-use crate::lines::{LineCodec, PONG};
+use ashtide_wire::{LineCodec, PONG};
 
 /// Probes once; whether the server answered properly within `limit`.
 pub async fn run(address: SocketAddr, limit: Duration) -> bool {
--- a/src/net/quic.rs
+++ b/src/net/quic.rs
@@ -22,7 +22,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
-use super::core::{Ask, Command, Handle, Port, Report};
+use super::report::{Ask, Command, Handle, Port, Report};
 use crate::config::QuicFront;
 use crate::engine::Answer;
 use crate::figures::Count;
--- /dev/null
+++ b/src/net/report.rs
@@ -0,0 +1,153 @@
+//! What fronts and the core say to each other: reports one way, commands the other. Drivers import
+//! this and not each other.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use ashtide_wire::Ending;
+use tokio::sync::mpsc;
+
+use crate::discovery::News;
+use crate::engine::Answer;
+use crate::figures::{Count, Figures};
+use crate::handover::{Cordons, Share};
+use crate::interface::{Outcome, RequestId, ServerId, Span};
+
+/// Commands that may wait for one session: more than all attempts of a request need.
+pub const COMMANDS: usize = 32;
+
+/// What a client asks for, in the words of its front.
+#[derive(Debug, Clone, Default)]
+pub struct Ask {
+    /// The class's name.
+    pub class: String,
+    /// The tenant's name.
+    pub tenant: Option<String>,
+    /// The group's name.
+    pub group: Option<String>,
+    /// How long the client waits.
+    pub wait: Span,
+    /// Expected load.
+    pub load: Option<f64>,
+}
+
+/// What the core asks of a front.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    /// Make an attempt.
+    Attempt {
+        /// Its number.
+        attempt: u32,
+        /// Where.
+        address: SocketAddr,
+        /// How long the core will wait.
+        timeout: Span,
+    },
+    /// Give the attempt up.
+    Close {
+        /// Its number.
+        attempt: u32,
+    },
+    /// Give the final answer.
+    Answer(Answer),
+    /// Send the client of the standing connection away.
+    Move,
+}
+
+/// Where a front takes its commands.
+pub type Port = mpsc::Sender<(RequestId, Command)>;
+
+/// What fronts and drivers tell the core.
+#[derive(Debug)]
+pub enum Report {
+    /// A client asks for a connection.
+    Request(RequestId, Ask, Port),
+    /// A connection that stood on the named server before.
+    Existing(RequestId, Ask, String, Port),
+    /// An attempt's connection stands.
+    Up(RequestId, u32),
+    /// An attempt or connection has ended.
+    Ended(RequestId, u32, Outcome),
+    /// The client has gone.
+    Left(RequestId),
+    /// A message was passed to the server; and whether its answer is due at once.
+    Asked(RequestId, bool),
+    /// The server sent something.
+    Answered(RequestId),
+    /// The connection's load now, in seconds of work a second.
+    Load(RequestId, f64),
+    /// News of the list.
+    News(News),
+    /// The list as an older process of this balancer has it.
+    Relayed(News),
+    /// What other processes of this balancer hold, by server, and what operators have called out there.
+    Beside(BTreeMap<String, Share>, Cordons),
+    /// The watch has ended.
+    WatchEnded,
+    /// A probe is back.
+    Probed(ServerId, bool),
+    /// Leave within this time.
+    Leave(Duration),
+}
+
+/// What a front holds of the core.
+#[derive(Clone)]
+pub struct Handle {
+    figures: Arc<Figures>,
+    reports: mpsc::Sender<Report>,
+    ids: Arc<AtomicU32>,
+}
+
+impl Handle {
+    /// A handle whose reports go here.
+    pub fn new(figures: Arc<Figures>, reports: mpsc::Sender<Report>) -> Self {
+        Self { figures, reports, ids: Arc::new(AtomicU32::new(1)) }
+    }
+
+    /// The figures that all handles count into.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// A new request's id.
+    pub fn next_id(&self) -> RequestId {
+        RequestId(self.ids.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Counts one of this class.
+    pub fn count(&self, count: Count, class: &str) {
+        self.figures.count(count, class);
+    }
+
+    /// Tells the core; waits while it has much to do.
+    pub async fn tell(&self, report: Report) {
+        // The core only ends with the process.
+        let _ = self.reports.send(report).await;
+    }
+}
+
+/// A span as the runtime counts it.
+pub fn duration(span: Span) -> Duration {
+    Duration::from_micros(u64::try_from(span.as_micros()).unwrap_or_default())
+}
+
+/// A runtime's duration as the core counts it.
+pub fn span(duration: Duration) -> Span {
+    Span::from_micros(i64::try_from(duration.as_micros()).unwrap_or(i64::MAX))
+}
+
+impl From<Ending> for Outcome {
+    fn from(ending: Ending) -> Self {
+        match ending {
+            Ending::Served => Outcome::Ok,
+            Ending::Moved => Outcome::Cancelled,
+            Ending::Busy => Outcome::QueueFull,
+            Ending::Failed => Outcome::Failed,
+            Ending::Unreached => Outcome::ConnectError,
+            Ending::Reset => Outcome::Reset,
+        }
+    }
+}
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -16,16 +16,18 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::FramedRead;
 
-use super::core::{Ask, COMMANDS, Command, Handle, Report, duration};
+use ashtide_wire::{
+    ClientEvent, ClientSide, FAILED, LineCodec, LineError, MOVE, Open, OpenError, PONG, ServerEvent,
+    ServerSide, busy,
+};
+
 use super::lobby::{Heard, Lobby, Permit, Place};
 use super::log::Limited;
+use super::report::{Ask, COMMANDS, Command, Handle, Report, duration, span};
 use crate::engine::Answer;
 use crate::figures::Count;
 use crate::interface::{Outcome, RequestId, Span};
-use crate::lines::{
-    Claim, ClientEvent, ClientSide, FAILED, LineCodec, LineError, MOVE, Open, OpenError, OpenIds, PONG,
-    ServerEvent, ServerSide, busy,
-};
+use crate::open_ids::{Claim, OpenIds};
 
 /// From its arrival on, a client has so long to say what it wants, whatever it says before: a true one
 /// may take 2 s to write its line, and a bad one is owed an end within 3 s.
@@ -44,7 +46,7 @@
 /// Wait between tries to reach the server of a connection from before the run.
 const EXISTING_AGAIN: Duration = Duration::from_millis(300);
 /// What a client over the limit is told to wait.
-const OVER_LIMIT: Span = Span::from_micros(1_000_000);
+const OVER_LIMIT: Duration = Duration::from_secs(1);
 /// Room for a line to begin with; lines are short, and a longer one makes more.
 const LINE_ROOM: usize = 1024;
 
@@ -200,7 +202,7 @@
     async fn open(&self, client: Peer, side: ClientSide, open: Box<Open>, claim: Claim) {
         let id = self.core.next_id();
         let (port, commands) = mpsc::channel(COMMANDS);
-        let wait = open.wait.unwrap_or(Span::from_micros(EXISTING.as_micros() as i64));
+        let wait = span(open.wait.unwrap_or(EXISTING));
         let ask = Ask {
             class: open.class.clone(),
             tenant: open.tenant.clone(),
@@ -327,7 +329,7 @@
 
     async fn answer(self, answer: Answer) {
         let (count, line) = match answer {
-            Answer::Refused(wait) => (Count::Dropped, busy(wait)),
+            Answer::Refused(wait) => (Count::Dropped, busy(duration(wait))),
             Answer::Failed => (Count::BadGateway, Bytes::from_static(FAILED)),
         };
         self.count(count);
@@ -338,7 +340,7 @@
     /// Makes one attempt. Its socket is closed before anything else is done when it is given up.
     async fn attempt(&mut self, attempt: u32, address: std::net::SocketAddr, wait: Span) -> Tried {
         let existing = self.open.at.is_some();
-        let line = if existing { self.open.raw.clone() } else { self.open.forward(wait) };
+        let line = if existing { self.open.raw.clone() } else { self.open.forward(duration(wait)) };
         let by = Instant::now() + if existing { duration(wait).max(EXISTING) } else { duration(wait) };
         let connect = self.front.times.connect;
         let written = || self.front.core.count(Count::Tries, &self.open.class);
@@ -386,7 +388,7 @@
         let (mut last, mut told) = (false, false);
         let end = loop {
             if last && to_client.is_empty() {
-                break End::Server(side.end());
+                break End::Server(side.end().into());
             }
             tokio::select! {
                 written = self.client.write.write_buf(&mut to_client), if !to_client.is_empty() => {
@@ -400,7 +402,7 @@
                 }
                 written = server.write.write_buf(&mut to_server), if !to_server.is_empty() => {
                     if written.is_err() {
-                        break End::Server(side.end());
+                        break End::Server(side.end().into());
                     }
                     if to_server.is_empty() {
                         self.front.core.tell(Report::Asked(id, true)).await;
@@ -419,7 +421,7 @@
                         }
                         ServerEvent::Over(_) => {}
                     },
-                    Some(Err(_)) | None => break End::Server(side.end()),
+                    Some(Err(_)) | None => break End::Server(side.end().into()),
                 },
                 line = self.client.lines.next(), if to_server.is_empty() => match line {
                     Some(Ok(line)) => to_server = line,
@@ -525,18 +527,18 @@
     };
     let mut server = Peer::new(stream);
     if server.write.write_all(line).await.is_err() {
-        return Dialled::Over(side.end());
+        return Dialled::Over(side.end().into());
     }
     side.written();
     written();
     match server.lines.next().await {
         Some(Ok(line)) => match side.line(line) {
             ServerEvent::Up(line) => Dialled::Up(server, side, line),
-            ServerEvent::Over(outcome) => Dialled::Over(outcome),
+            ServerEvent::Over(ending) => Dialled::Over(ending.into()),
             ServerEvent::Pass(_) | ServerEvent::Load(..) | ServerEvent::Last(_) => {
                 Dialled::Over(Outcome::Failed)
             }
         },
-        Some(Err(_)) | None => Dialled::Over(side.end()),
+        Some(Err(_)) | None => Dialled::Over(side.end().into()),
     }
 }
--- /dev/null
+++ b/src/net/socket.rs
@@ -0,0 +1,42 @@
+//! Listeners: bound anew, or inherited from whoever started the process.
+
+use std::io;
+use std::net::SocketAddr;
+
+use rustix::net::sockopt::socket_acceptconn;
+use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+use tokio::net::{TcpListener, TcpSocket};
+
+/// Connections that wait to be accepted: all clients of a restart at once.
+const BACKLOG: u32 = 1024;
+
+/// Binds the address on which clients come.
+///
+/// # Errors
+///
+/// Fails where the address cannot be bound.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A balancer comes back at once on the address of its predecessor.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Adopts a listener that the process has inherited under this number. Only a copy of the descriptor
+/// is held, and it is never shut down: the queue behind it belongs to other processes as well.
+///
+/// # Errors
+///
+/// Fails where there is no such descriptor or it does not listen.
+pub fn adopt(number: i32) -> io::Result<TcpListener> {
+    let own = pidfd_open(getpid(), PidfdFlags::empty())?;
+    // Closed on exec, as every descriptor got this way is.
+    let copy = pidfd_getfd(own, number, PidfdGetfdFlags::empty())?;
+    if !socket_acceptconn(&copy)? {
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, "does not listen"));
+    }
+    let listener = std::net::TcpListener::from(copy);
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
