--- a/crates/ashtide-client/src/settings.rs
+++ b/crates/ashtide-client/src/settings.rs
@@ -117,7 +117,11 @@
             ("quick", self.quick),
         ] {
             if time.is_zero() || time > DAY {
-                return Err(SettingsError { key, found: format!("{time:?}"), expected: "over 0 s, at most a day" });
+                return Err(SettingsError {
+                    key,
+                    found: format!("{time:?}"),
+                    expected: "over 0 s, at most a day",
+                });
             }
         }
         for (key, figure, least) in [
--- /dev/null
+++ b/crates/ashtide-client/tests/core.rs
@@ -0,0 +1,566 @@
+//! The core under arbitrary interleavings: a world that loses, delays, repeats and invents events, and the
+//! promises that hold in all of them. Fixed seeds, virtual time.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use ashtide_client::*;
+use ashtide_wire::{GatewayEvent, Open, PeerFault};
+use bytes::Bytes;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn address(number: u16) -> Address {
+    Address {
+        at: ([127, 0, 0, 1], 4000 + number).into(),
+        zone: format!("z{}", number % 2),
+        site: "site".into(),
+    }
+}
+
+fn wish(key: u64) -> Wish {
+    Wish {
+        repeatable: key % 5 != 4,
+        returns: key % 7 != 6,
+        ..Wish::new("meter", format!("k{key}"), 3200 * MS)
+    }
+}
+
+/// What a world without mercy has seen of one session.
+#[derive(Default)]
+struct Seen {
+    key: String,
+    opened: Moment,
+    /// Attempts whose sockets are, or may be, open; and whether the request went out on them.
+    sockets: BTreeMap<Attempt, bool>,
+    /// It must stand by then: the first placing's deadline.
+    by: Option<Moment>,
+    stood: bool,
+    tries: u32,
+    not_before: Moment,
+    ended: u32,
+    closing: BTreeSet<Attempt>,
+}
+
+struct World {
+    pool: Pool,
+    now: Moment,
+    sessions: BTreeMap<SessionId, Seen>,
+    ids: BTreeSet<Bytes>,
+    out: Vec<Effect>,
+    /// Until when the one site refuses the one class.
+    held: Moment,
+    /// Until when a driver has been late with the time, so that a session may end later.
+    woken: Moment,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let now = Moment::from_micros(1_000_000);
+        let mut world = Self {
+            pool: Pool::new(Settings { zone: Some("z0".into()), ..Settings::default() }, seed).unwrap(),
+            now,
+            sessions: BTreeMap::new(),
+            ids: BTreeSet::new(),
+            out: Vec::new(),
+            held: Moment::default(),
+            woken: now,
+        };
+        world.event(Event::Addresses((0..4).map(address).collect()));
+        world
+    }
+
+    fn open(&mut self, key: u64) {
+        let wish = wish(key);
+        let seen = Seen {
+            key: wish.asking.key.clone(),
+            opened: self.now,
+            by: Some(self.now + wish.wait),
+            ..Seen::default()
+        };
+        let mut out = Vec::new();
+        let id = self.pool.open(self.now, wish, &mut out);
+        assert!(self.sessions.insert(id, seen).is_none(), "ids are fresh");
+        self.out = out;
+        self.check();
+    }
+
+    fn event(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.pool.handle(self.now, event, &mut out);
+        self.out = out;
+        self.check();
+    }
+
+    /// Lets time pass as a driver does that wakes the pool when it asks.
+    fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while let Some(wake) = self.pool.next_wake().filter(|&wake| wake <= until) {
+            self.now = wake.max(self.now);
+            self.woken = self.now;
+            self.event(Event::Time);
+        }
+        self.now = until;
+    }
+
+    fn check(&mut self) {
+        let now = self.now;
+        for effect in std::mem::take(&mut self.out) {
+            match effect {
+                Effect::Dial { session, attempt, .. } => {
+                    let seen = self.sessions.get_mut(&session).unwrap();
+                    assert_eq!(seen.ended, 0, "nothing after the end");
+                    assert!(seen.sockets.is_empty(), "dials while {:?} may be open", seen.sockets);
+                    assert!(now >= seen.not_before, "before the refusal's time is over");
+                    assert!(now >= self.held, "another session knocks at a site that refuses");
+                    seen.sockets.insert(attempt, false);
+                    seen.tries += 1;
+                }
+                Effect::Write { session, attempt, line } => {
+                    let seen = self.sessions.get_mut(&session).unwrap();
+                    assert_eq!(
+                        seen.sockets.insert(attempt, true),
+                        Some(false),
+                        "written once, where dialled"
+                    );
+                    assert_eq!(seen.sockets.len(), 1, "one attempt at a time");
+                    let text = String::from_utf8(line.to_vec()).unwrap();
+                    let open = Open::parse(line).unwrap();
+                    assert!(self.ids.insert(open.id.clone()), "a fresh id");
+                    assert_eq!(text.split(' ').nth(2), Some(&*seen.key), "the same key");
+                    assert_eq!(text.contains(",r=1"), seen.tries > 1, "marked as a retry: {text}");
+                    assert_eq!(text.contains(",again=1"), seen.stood, "marked as a return: {text}");
+                    let wait = open.wait.unwrap();
+                    match seen.by {
+                        Some(by) => {
+                            assert!(wait <= by.since(now).max(MS), "{wait:?} but {:?} left", by.since(now))
+                        }
+                        None => assert!(wait <= Duration::from_secs(30)),
+                    }
+                }
+                Effect::Close { session, attempt } => {
+                    let seen = self.sessions.get_mut(&session).unwrap();
+                    assert!(seen.closing.insert(attempt), "closed once");
+                }
+                Effect::Tell(session, notice) => {
+                    let seen = self.sessions.get_mut(&session).unwrap();
+                    assert_eq!(seen.ended, 0, "nothing after the end");
+                    match notice {
+                        Notice::Up { .. } => {
+                            assert!(seen.by.is_none_or(|by| now < by), "up after its deadline");
+                            (seen.stood, seen.by, seen.tries) = (true, None, 0);
+                        }
+                        Notice::Dropped(_) => seen.tries = 0,
+                        // A return begins, or begins anew once the network is back.
+                        Notice::Returning { after } => {
+                            seen.tries = 0;
+                            assert!(after <= Duration::from_secs(20));
+                        }
+                        Notice::Retrying { .. } => {}
+                    }
+                }
+                Effect::End(session, _) => {
+                    let seen = self.sessions.get_mut(&session).unwrap();
+                    seen.ended += 1;
+                    assert_eq!(seen.ended, 1, "ends once");
+                }
+            }
+        }
+        for seen in self.sessions.values().filter(|seen| seen.ended == 0) {
+            // Time is told when it is asked for, so a deadline is overrun by a tick at most.
+            if let Some(by) = seen.by {
+                assert!(self.woken <= by + TICK, "still here at {:?}", self.woken.since(seen.opened));
+            }
+        }
+        // Retries are what first tries, drops and time have paid for, and no more.
+        let settings = Settings::default();
+        let minutes = now.since(Moment::from_micros(1_000_000)).as_secs_f64() / 60.0;
+        let figures = self.pool.figures();
+        let paid =
+            (figures.first_tries + figures.returns + figures.opened + figures.moved + figures.broken) as f64;
+        let most = settings.budget_first + settings.budget_ratio * paid + settings.budget_minute * minutes;
+        assert!(figures.retries as f64 <= most + 1e-6, "{} retries, {most} paid for", figures.retries);
+    }
+
+    fn pick(&self, which: u32) -> Option<(SessionId, Attempt)> {
+        let all: Vec<_> = self
+            .sessions
+            .iter()
+            .flat_map(|(&id, seen)| seen.sockets.keys().map(move |&attempt| (id, attempt)))
+            .collect();
+        all.get(which as usize % all.len().max(1)).copied()
+    }
+
+    /// One step of a script: any event, of a live attempt or of one that never was or is long over.
+    fn act(&mut self, what: u8, which: u32) {
+        match what {
+            0 | 1 => return self.open(u64::from(which)),
+            2 => return self.event(Event::NetworkLost),
+            3 => return self.event(Event::NetworkBack),
+            4 => {
+                let list = (0..4).filter(|number| which >> number & 1 == 1).map(address).collect();
+                return self.event(Event::Addresses(list));
+            }
+            5 => {
+                let id = self.sessions.keys().nth(which as usize % self.sessions.len().max(1)).copied();
+                id.into_iter().for_each(|id| self.event(Event::Leave(id)));
+                return;
+            }
+            6 => {
+                // Events of attempts that never were, or of other sessions' numbers.
+                let (id, attempt) = (SessionId(u64::from(which % 9)), Attempt(which % 11 + 40));
+                self.event(Event::Connected(id, attempt));
+                self.event(Event::Heard(id, attempt, Ok(GatewayEvent::Up(Bytes::new()))));
+                return self.event(Event::Ended(id, attempt, None));
+            }
+            _ => {}
+        }
+        let Some((id, attempt)) = self.pick(which) else { return };
+        let seen = self.sessions.get_mut(&id).unwrap();
+        let asked = seen.sockets[&attempt];
+        let alive = seen.ended == 0 && !seen.closing.contains(&attempt);
+        match what {
+            // The driver closes what it was told to, sooner or later.
+            7..=9 => {
+                if seen.closing.contains(&attempt) {
+                    seen.sockets.remove(&attempt);
+                    self.event(Event::Closed(id, attempt));
+                }
+            }
+            10..=13 if !asked => self.event(Event::Connected(id, attempt)),
+            14 if !asked => {
+                seen.sockets.remove(&attempt);
+                self.event(Event::ConnectFailed(id, attempt));
+            }
+            15 => {
+                seen.sockets.remove(&attempt);
+                self.event(Event::Ended(id, attempt, (which % 3 == 0).then_some(PeerFault::Torn)));
+            }
+            16 => {
+                let wait = Duration::from_millis(u64::from(which % 1500));
+                let busy = match which % 4 {
+                    0 => None,
+                    1 => Some(Duration::from_secs(u64::from(which) * 1000)),
+                    _ => Some(wait),
+                };
+                // A refusal counts from when it is heard, if it is an answer at all.
+                let standing = self.pool.stands(id);
+                let in_time = self.sessions[&id].by.is_none_or(|by| self.now < by);
+                self.event(Event::Heard(id, attempt, Ok(GatewayEvent::Busy(busy))));
+                if alive && asked && !standing && in_time {
+                    let until = self.now + busy.unwrap_or_default().min(Settings::default().busy_most);
+                    self.sessions.get_mut(&id).unwrap().not_before = until;
+                }
+            }
+            17 => self.event(Event::Heard(id, attempt, Ok(GatewayEvent::Failed(Bytes::new())))),
+            18 => self.event(Event::Heard(id, attempt, Err(PeerFault::UpTwice))),
+            19 => self.event(Event::Heard(id, attempt, Ok(GatewayEvent::Move))),
+            20 => self.event(Event::Heard(id, attempt, Ok(GatewayEvent::Bye))),
+            _ => self.event(Event::Heard(id, attempt, Ok(GatewayEvent::Up(Bytes::from("r"))))),
+        }
+    }
+}
+
+fn run(cases: u32, test: impl Fn(u64, Vec<(u32, u8, u32)>) -> Result<(), TestCaseError>) {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let cases = Cases { cases, failure_persistence: None, max_shrink_iters: 2000, ..Cases::default() };
+    let step = (prop_oneof![4 => 0_u32..400, 1 => 0_u32..8000, 1 => Just(0)], 0_u8..26, any::<u32>());
+    TestRunner::new_with_rng(cases, rng)
+        .run(&(any::<u64>(), vec(step, 1..250)), |(seed, script)| test(seed, script))
+        .unwrap();
+}
+
+#[test]
+fn whatever_happens_there_is_one_attempt_one_end_and_no_early_return() {
+    run(400, |seed, script| {
+        let mut world = World::new(seed);
+        for (ms, what, which) in script {
+            world.pass(ms * MS);
+            world.act(what, which);
+        }
+        // Let it all come to an end: sockets close, the network stays, everyone leaves or is overdue.
+        world.event(Event::NetworkBack);
+        for _ in 0..2000 {
+            world.pass(200 * MS);
+            let open: Vec<_> = world
+                .sessions
+                .iter()
+                .flat_map(|(&id, seen)| seen.closing.iter().map(move |&a| (id, a)))
+                .collect();
+            for (id, attempt) in open {
+                if world.sessions.get_mut(&id).unwrap().sockets.remove(&attempt).is_some() {
+                    world.event(Event::Closed(id, attempt));
+                }
+            }
+        }
+        for id in world.sessions.keys().copied().collect::<Vec<_>>() {
+            if world.sessions[&id].ended == 0 {
+                prop_assert!(world.pool.stands(id), "neither standing nor over after 400 s");
+                world.event(Event::Leave(id));
+            }
+        }
+        prop_assert!(world.sessions.values().all(|seen| seen.ended == 1) && world.pool.is_empty());
+        prop_assert_eq!(world.pool.next_wake(), None);
+        prop_assert_eq!(world.pool.figures().ended, world.pool.figures().opened);
+        Ok(())
+    });
+}
+
+#[test]
+fn the_same_seed_and_events_give_the_same_effects() {
+    run(20, |seed, script| {
+        let [one, two] = [(), ()].map(|()| {
+            let (mut pool, mut all, mut now) = (Pool::new(Settings::default(), seed).unwrap(), Vec::new(), 0);
+            pool.handle(Moment::default(), Event::Addresses((0..4).map(address).collect()), &mut all);
+            for &(ms, what, which) in &script {
+                now += u64::from(ms) * 1000;
+                let (at, id) = (Moment::from_micros(now), SessionId(u64::from(which % 6) + 1));
+                match what {
+                    0..=5 => _ = pool.open(at, wish(u64::from(which)), &mut all),
+                    6..=12 => pool.handle(at, Event::Connected(id, Attempt(1)), &mut all),
+                    13 => pool.handle(at, Event::NetworkLost, &mut all),
+                    14 => pool.handle(at, Event::NetworkBack, &mut all),
+                    _ => {
+                        pool.handle(at, Event::Heard(id, Attempt(1), Ok(GatewayEvent::Busy(None))), &mut all)
+                    }
+                }
+            }
+            all
+        });
+        prop_assert_eq!(one, two);
+        Ok(())
+    });
+}
+
+/// A pool with one address, and a session that has been dialled and asked.
+fn asked(settings: Settings, wish: Wish) -> (Pool, SessionId, Vec<Effect>) {
+    let (mut pool, mut out) = (Pool::new(settings, 7).unwrap(), Vec::new());
+    pool.handle(at(0), Event::Addresses(vec![address(0)]), &mut out);
+    let id = pool.open(at(0), wish, &mut out);
+    pool.handle(at(0), Event::Connected(id, Attempt(1)), &mut out);
+    (pool, id, out)
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::from_micros(5_000_000 + ms * 1000)
+}
+
+fn up() -> Result<GatewayEvent, PeerFault> {
+    Ok(GatewayEvent::Up(Bytes::new()))
+}
+
+#[test]
+fn a_slow_connect_leaves_the_line_what_is_left() {
+    let (mut pool, mut out) = (Pool::new(Settings::default(), 7).unwrap(), Vec::new());
+    pool.handle(at(0), Event::Addresses(vec![address(0)]), &mut out);
+    let id = pool.open(at(0), Wish::new("meter", "k", 3200 * MS), &mut out);
+    pool.handle(at(900), Event::Connected(id, Attempt(1)), &mut out);
+    let Some(Effect::Write { line, .. }) = out.last() else { panic!("{out:?}") };
+    assert_eq!(Open::parse(line.clone()).unwrap().wait, Some(2300 * MS));
+}
+
+#[test]
+fn a_device_that_slept_ends_the_session_once() {
+    let (mut pool, id, mut out) = asked(Settings::default(), Wish::new("meter", "k", 3200 * MS));
+    out.clear();
+    // The answer came while it slept, and is the first thing that is read.
+    pool.handle(at(3 * 3_600_000), Event::Heard(id, Attempt(1), up()), &mut out);
+    let end = Effect::End(id, GaveUp::Deadline { last: Setback::Silent });
+    assert_eq!(out, [Effect::Close { session: id, attempt: Attempt(1) }, end]);
+    assert!(pool.is_empty() && pool.next_wake().is_none());
+}
+
+#[test]
+fn up_beside_the_close_is_a_break_and_not_two() {
+    let (mut pool, id, mut out) = asked(Settings::default(), Wish::new("meter", "k", 3200 * MS));
+    out.clear();
+    pool.handle(at(5), Event::Heard(id, Attempt(1), up()), &mut out);
+    pool.handle(at(5), Event::Ended(id, Attempt(1), None), &mut out);
+    assert!(matches!(
+        out[..],
+        [Effect::Tell(_, Notice::Up { .. }), Effect::Tell(_, Notice::Dropped(Drop::Broke(None)))]
+    ));
+    assert_eq!((pool.figures().up, pool.figures().broken), (1, 1));
+}
+
+#[test]
+fn connections_that_break_at_once_end_the_session_after_a_few() {
+    let (mut pool, id, mut out) = asked(Settings::default(), Wish::new("meter", "k", 3200 * MS));
+    let mut now = at(5);
+    for attempt in 1..=5 {
+        pool.handle(now, Event::Connected(id, Attempt(attempt)), &mut out);
+        pool.handle(now, Event::Heard(id, Attempt(attempt), up()), &mut out);
+        pool.handle(now, Event::Ended(id, Attempt(attempt), None), &mut out);
+        while let Some(wake) = pool.next_wake() {
+            now = wake;
+            pool.handle(now, Event::Time, &mut out);
+            if let Some(Effect::Dial { .. }) = out.last() {
+                break;
+            }
+        }
+    }
+    assert_eq!(out.last(), Some(&Effect::End(id, GaveUp::Unstable { breaks: 5 })));
+    assert!(now.since(at(0)) > Duration::from_secs(10), "and each wait is drawn from a wider window");
+}
+
+#[test]
+fn an_absurd_wait_is_bounded_and_says_when_to_come_again() {
+    let (mut pool, id, mut out) = asked(Settings::default(), Wish::new("meter", "k", 3200 * MS));
+    let busy = GatewayEvent::Busy(Some(Duration::from_secs(1 << 40)));
+    pool.handle(at(5), Event::Heard(id, Attempt(1), Ok(busy)), &mut out);
+    let come_back = Settings::default().busy_most;
+    assert_eq!(out.last(), Some(&Effect::End(id, GaveUp::Refused { come_back })));
+    // Who asks next within that time is told so without a knock at any door of the site.
+    pool.handle(at(6), Event::Addresses((0..4).map(address).collect()), &mut out);
+    out.clear();
+    let next = pool.open(at(1005), Wish::new("meter", "other", 3200 * MS), &mut out);
+    assert_eq!(out, [Effect::End(next, GaveUp::Refused { come_back: Duration::from_secs(29) })]);
+    let other = pool.open(at(1005), Wish::new("sync", "other", 3200 * MS), &mut out);
+    assert!(
+        matches!(out.last(), Some(Effect::Dial { session, .. }) if *session == other),
+        "another class may"
+    );
+}
+
+/// Answers every attempt that has been dialled; how many there were.
+fn answer_all(pool: &mut Pool, now: Moment, out: &mut Vec<Effect>, answer: &GatewayEvent) -> usize {
+    let mut dials = 0;
+    for effect in std::mem::take(out) {
+        if let Effect::Dial { session, attempt, .. } = effect {
+            dials += 1;
+            pool.handle(now, Event::Connected(session, attempt), out);
+            pool.handle(now, Event::Heard(session, attempt, Ok(answer.clone())), out);
+            pool.handle(now, Event::Closed(session, attempt), out);
+        }
+    }
+    dials
+}
+
+#[test]
+fn a_dead_site_sees_first_tries_and_little_else() {
+    let (mut pool, mut out) = (Pool::new(Settings::default(), 3).unwrap(), Vec::new());
+    pool.handle(at(0), Event::Addresses((0..4).map(address).collect()), &mut out);
+    for number in 0..1000_u64 {
+        let now = at(number * 20);
+        pool.open(now, Wish::new("meter", format!("k{number}"), 3200 * MS), &mut out);
+        while answer_all(&mut pool, now, &mut out, &GatewayEvent::Busy(None)) > 0 {}
+    }
+    let figures = pool.figures();
+    assert_eq!(figures.first_tries, 1000);
+    assert!((150..=203).contains(&figures.retries) && figures.no_budget > 700, "{figures:?}");
+}
+
+#[test]
+fn one_session_finds_out_whether_a_failed_address_is_well_again() {
+    let (mut pool, mut out) = (Pool::new(Settings::default(), 3).unwrap(), Vec::new());
+    pool.handle(at(0), Event::Addresses(vec![address(0)]), &mut out);
+    let first = pool.open(at(0), Wish { wait: 60_000 * MS, ..wish(1) }, &mut out);
+    pool.handle(at(1), Event::ConnectFailed(first, Attempt(1)), &mut out);
+    out.clear();
+    for key in 0..50 {
+        pool.open(at(2), Wish::new("meter", format!("k{key}"), 60_000 * MS), &mut out);
+    }
+    let dials = |out: &[Effect]| out.iter().filter(|effect| matches!(effect, Effect::Dial { .. })).count();
+    assert_eq!(dials(&out), 0, "all wait while it is set aside");
+    let mut now = 2;
+    while dials(&out) == 0 {
+        now += 10;
+        pool.handle(at(now), Event::Time, &mut out);
+    }
+    assert!((500..2500).contains(&now) && dials(&out) == 1, "then one tries, at {now}");
+    for later in 1..50 {
+        pool.handle(at(now + later * 10), Event::Time, &mut out);
+    }
+    assert_eq!(dials(&out), 1, "and the others wait for its answer");
+    now += 500;
+    answer_all(&mut pool, at(now), &mut out, &GatewayEvent::Up(Bytes::new()));
+    let mut followed = 0;
+    for later in 1..200 {
+        pool.handle(at(now + later * 10), Event::Time, &mut out);
+        followed += answer_all(&mut pool, at(now + later * 10), &mut out, &GatewayEvent::Up(Bytes::new()));
+    }
+    assert_eq!(followed, 50, "once it has come up, all follow");
+}
+
+#[test]
+fn what_was_learnt_outlives_the_process_within_bounds() {
+    let (mut pool, id, mut out) = asked(Settings::default(), Wish::new("meter", "k", 3200 * MS));
+    let busy = GatewayEvent::Busy(Some(Duration::from_secs(20)));
+    pool.handle(at(5), Event::Heard(id, Attempt(1), Ok(busy)), &mut out);
+    let text = pool.learnt(at(5)).encode(77_000).unwrap();
+    let (learnt, ago) = Learnt::decode(&text, 82_000).unwrap().unwrap();
+    assert_eq!(ago, Duration::from_secs(5));
+
+    let mut next = Pool::new(Settings::default(), 8).unwrap();
+    next.handle(at(0), Event::Addresses(vec![address(0)]), &mut out);
+    next.recall(at(0), &learnt, ago);
+    out.clear();
+    let id = next.open(at(0), Wish::new("meter", "k", 3200 * MS), &mut out);
+    assert_eq!(out, [Effect::End(id, GaveUp::Refused { come_back: Duration::from_secs(15) })]);
+
+    // A clock that went back, a file from long ago, one from another version, and garbage of all kinds.
+    assert_eq!(Learnt::decode(&text, 0).unwrap().unwrap().1, Duration::ZERO);
+    assert!(Learnt::decode(&text, 77_000 + 700_000).unwrap().is_none());
+    let other = String::from_utf8(text.clone()).unwrap().replace("\"version\":1", "\"version\":2");
+    assert!(matches!(Learnt::decode(other.as_bytes(), 0), Err(LearntError::Version(2))));
+    for cut in 0..text.len() {
+        assert!(Learnt::decode(&text[..cut], 0).is_err(), "a prefix of {cut} bytes");
+    }
+    let absurd = Learnt {
+        tokens: 1e5,
+        holds: vec![Held { site: "site".into(), class: "meter".into(), ms: u64::MAX }],
+        failing: vec![],
+    };
+    let mut third = Pool::new(Settings::default(), 8).unwrap();
+    third.handle(at(0), Event::Addresses(vec![address(0)]), &mut out);
+    third.recall(at(0), &absurd, Duration::ZERO);
+    assert!(third.budget() <= Settings::default().budget_first, "no retries out of a file");
+    out.clear();
+    let id = third.open(at(0), Wish::new("meter", "k", 3200 * MS), &mut out);
+    assert_eq!(out, [Effect::End(id, GaveUp::Refused { come_back: Settings::default().busy_most })]);
+}
+
+/// Sessions of their own processes, all cut at one moment: when each reaches the balancer again.
+fn arrivals(count: u64, seed: impl Fn(u64) -> u64, drop: Event) -> HashMap<u64, u32> {
+    let mut slots = HashMap::new();
+    for number in 0..count {
+        let (mut pool, mut out) = (Pool::new(Settings::default(), seed(number)).unwrap(), Vec::new());
+        pool.handle(at(0), Event::Addresses(vec![address(0), address(2)]), &mut out);
+        let id = pool.open(at(0), Wish::new("meter", format!("meter-{number}"), 3200 * MS), &mut out);
+        pool.handle(at(0), Event::Connected(id, Attempt(1)), &mut out);
+        pool.handle(at(0), Event::Heard(id, Attempt(1), up()), &mut out);
+        out.clear();
+        let cut = match drop {
+            Event::Ended(..) => Event::Ended(id, Attempt(1), None),
+            _ => Event::Heard(id, Attempt(1), Ok(GatewayEvent::Move)),
+        };
+        pool.handle(at(10_000), cut, &mut out);
+        pool.handle(at(10_000), Event::Closed(id, Attempt(1)), &mut out);
+        out.clear();
+        while !out.iter().any(|effect| matches!(effect, Effect::Dial { .. })) {
+            let wake = pool.next_wake().expect("it returns");
+            pool.handle(wake, Event::Time, &mut out);
+            if out.iter().any(|effect| matches!(effect, Effect::Dial { .. })) {
+                *slots.entry(wake.since(at(10_000)).as_millis() as u64 / 100).or_default() += 1;
+            }
+        }
+    }
+    slots
+}
+
+#[test]
+fn a_mass_return_is_no_wave_even_from_equal_seeds() {
+    let broken = Event::Ended(SessionId(1), Attempt(1), None);
+    let moved = Event::Heard(SessionId(1), Attempt(1), Ok(GatewayEvent::Move));
+    for (drop, least, slots_of) in [(broken, 35, 40.0), (moved, 20, 25.0)] {
+        let slots = arrivals(10_000, |_| 42, drop);
+        let span = slots.keys().max().unwrap() - slots.keys().min().unwrap();
+        assert!(span >= least, "over {span} slots of 100 ms");
+        let (peak, mean) = (f64::from(*slots.values().max().unwrap()), 10_000.0 / slots_of);
+        assert!(peak <= 1.4 * mean, "peak {peak}, mean {mean}");
+        assert_eq!(slots.values().sum::<u32>(), 10_000);
+    }
+}
