Client driver on tokio, and a ledger and a relay among the stand-ins

The core needs sockets round it and the driver has to be shown against the real daemon. One task owns the pool; one task a session owns its only socket, hears the pool while its application does not read, and waits for the pool's word before it passes anything of a connection that has just come up. CLOCK_BOOTTIME is looked at once a second, as timers stand still while a device sleeps. The stand-in servers keep a ledger together, which counts attempts of one key that are out at once; a relay stands for the network.

--- /dev/null
+++ b/crates/ashtide-client/src/connection.rs
@@ -0,0 +1,375 @@
+//! One session's task: its socket, of which there is never more than one, and its lines.
+
+use std::collections::VecDeque;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+
+use ashtide_wire::{GatewayEvent, GatewaySide, LineCodec, LineError, PeerFault};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+use tokio_util::codec::FramedRead;
+use tokio_util::sync::CancellationToken;
+
+use crate::driver::Event;
+use crate::pool::Event as Input;
+use crate::{Attempt, GaveUp, SessionId};
+
+/// Notices that wait for an application that does not read; then the oldest go, and are counted.
+const NOTICES: usize = 16;
+/// Room for a line to begin with; lines are short, and a longer one makes more.
+const LINE_ROOM: usize = 512;
+
+/// What the pool's task asks of a session's.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Dial(Attempt, SocketAddr),
+    Write(Attempt, Bytes),
+    Close(Attempt),
+    Tell(Event),
+    End(GaveUp),
+}
+
+/// What a session's task has to do with others.
+pub(crate) struct Link {
+    id: SessionId,
+    reports: mpsc::Sender<Input>,
+    commands: mpsc::Receiver<Command>,
+    to_app: mpsc::Sender<Event>,
+    from_app: mpsc::Receiver<Bytes>,
+    gone: CancellationToken,
+    stall: Duration,
+    waiting: Waiting,
+}
+
+/// Events that the application has not taken yet.
+#[derive(Default)]
+struct Waiting {
+    events: VecDeque<Event>,
+    missed: u64,
+}
+
+impl Waiting {
+    fn push(&mut self, event: Event) {
+        if self.events.len() >= NOTICES {
+            // Lines are the server's word and stay; what happened to the connection is told in short.
+            if let Some(at) = self.events.iter().position(|event| !matches!(event, Event::Line(_))) {
+                self.events.remove(at);
+                self.missed += 1;
+            }
+        }
+        self.events.push_back(event);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.events.is_empty() && self.missed == 0
+    }
+
+    fn pop(&mut self) -> Option<Event> {
+        match std::mem::take(&mut self.missed) {
+            0 => self.events.pop_front(),
+            missed => Some(Event::Missed(missed)),
+        }
+    }
+}
+
+type Dial = Pin<Box<dyn Future<Output = std::io::Result<TcpStream>> + Send>>;
+
+enum Socket {
+    None,
+    Dialling(Attempt, Dial),
+    Open(Box<Connection>),
+}
+
+struct Connection {
+    attempt: Attempt,
+    read: FramedRead<OwnedReadHalf, LineCodec>,
+    write: OwnedWriteHalf,
+    side: GatewaySide,
+    /// What is left of the line that is being written, and all of it.
+    writing: Bytes,
+    whole: Bytes,
+    /// When the peer last took something, while something is being written.
+    taken: Instant,
+    /// The pool has to say something before more is read.
+    paused: bool,
+    /// The pool has taken the connection for standing: the application's lines may go.
+    standing: bool,
+    /// Writing failed; what the peer said before is still to be read.
+    deaf: bool,
+}
+
+/// What a session's task woke up for.
+enum Woken {
+    Gone,
+    Command(Option<Command>),
+    Dialled(std::io::Result<TcpStream>),
+    Read(Option<Result<Bytes, LineError>>),
+    Wrote(std::io::Result<usize>),
+    Stalled,
+    Line(Option<Bytes>),
+    Deliver(bool),
+}
+
+impl Link {
+    pub(crate) fn new(
+        id: SessionId,
+        reports: mpsc::Sender<Input>,
+        commands: mpsc::Receiver<Command>,
+        to_app: mpsc::Sender<Event>,
+        from_app: mpsc::Receiver<Bytes>,
+        gone: CancellationToken,
+        stall: Duration,
+    ) -> Self {
+        Self { id, reports, commands, to_app, from_app, gone, stall, waiting: Waiting::default() }
+    }
+
+    async fn report(&self, input: Input) {
+        // The pool's task outlives its sessions, unless the runtime is torn down with both.
+        let _ = self.reports.send(input).await;
+    }
+
+    /// Hands what is left to the application, unless it goes first.
+    async fn last_words(mut self) {
+        while let Some(event) = self.waiting.pop() {
+            tokio::select! {
+                sent = self.to_app.send(event) => if sent.is_err() {
+                    return;
+                },
+                () = self.gone.cancelled() => return,
+            }
+        }
+    }
+}
+
+/// Runs a session's task until the session is over and the application knows.
+pub(crate) async fn run(mut link: Link) {
+    let (mut socket, mut left, mut lines) = (Socket::None, false, true);
+    let mut cut = None;
+    loop {
+        let woken = {
+            let Link { commands, to_app, from_app, gone, stall, waiting, .. } = &mut link;
+            let room = waiting.is_empty();
+            match &mut socket {
+                Socket::Open(connection) => {
+                    let connection = &mut **connection;
+                    let stalled = connection.taken + *stall;
+                    let writes = !connection.writing.is_empty();
+                    let takes = connection.standing && !writes && !connection.deaf && lines;
+                    let Connection { read: reader, write, writing, paused, standing, .. } = connection;
+                    // Lines wait in the socket until the application has taken the last one; answers do not.
+                    let reads = !*paused && (room || !*standing);
+                    tokio::select! {
+                        biased;
+                        command = commands.recv() => Woken::Command(command),
+                        () = gone.cancelled(), if !left => Woken::Gone,
+                        read = reader.next(), if reads => Woken::Read(read),
+                        wrote = write.write_buf(writing), if writes => Woken::Wrote(wrote),
+                        line = from_app.recv(), if takes => Woken::Line(line),
+                        permit = to_app.reserve(), if !room => Woken::Deliver(deliver(permit, waiting)),
+                        () = sleep_until(stalled), if writes => Woken::Stalled,
+                    }
+                }
+                other => {
+                    let dialling = async {
+                        match other {
+                            Socket::Dialling(_, dial) => dial.await,
+                            _ => pending().await,
+                        }
+                    };
+                    tokio::select! {
+                        biased;
+                        command = commands.recv() => Woken::Command(command),
+                        () = gone.cancelled(), if !left => Woken::Gone,
+                        dialled = dialling => Woken::Dialled(dialled),
+                        permit = to_app.reserve(), if !room => Woken::Deliver(deliver(permit, waiting)),
+                    }
+                }
+            }
+        };
+        match woken {
+            Woken::Gone => {
+                left = true;
+                link.report(Input::Leave(link.id)).await;
+            }
+            Woken::Deliver(delivered) => {
+                if !delivered && !left {
+                    left = true;
+                    link.report(Input::Leave(link.id)).await;
+                }
+            }
+            Woken::Command(None) => {
+                link.waiting.push(Event::Ended(GaveUp::Closed));
+                drop(socket);
+                return link.last_words().await;
+            }
+            Woken::Command(Some(Command::End(why))) => {
+                link.waiting.push(Event::Ended(why));
+                drop(socket);
+                return link.last_words().await;
+            }
+            Woken::Command(Some(Command::Dial(attempt, at))) => {
+                socket = Socket::Dialling(attempt, Box::pin(TcpStream::connect(at)));
+            }
+            Woken::Command(Some(Command::Write(attempt, line))) => {
+                if let Socket::Open(connection) = &mut socket {
+                    if connection.attempt == attempt {
+                        connection.side.asked();
+                        connection.begin(line);
+                    }
+                }
+            }
+            Woken::Command(Some(Command::Close(attempt))) => {
+                let ours = match &socket {
+                    Socket::None => false,
+                    Socket::Dialling(which, _) => *which == attempt,
+                    Socket::Open(connection) => connection.attempt == attempt,
+                };
+                if ours {
+                    cut = cut_of(&socket).or(cut);
+                    // Dropped, and so closed, before anyone is told that it is.
+                    socket = Socket::None;
+                }
+                link.report(Input::Closed(link.id, attempt)).await;
+            }
+            Woken::Command(Some(Command::Tell(event))) => {
+                let event = match event {
+                    Event::Up { .. } => {
+                        if let Socket::Open(connection) = &mut socket {
+                            (connection.standing, connection.paused) = (true, false);
+                        }
+                        event
+                    }
+                    Event::Broken { why, .. } => {
+                        // Told before the close is, where the pool closes it.
+                        Event::Broken { why, cut: cut_of(&socket).or(cut.take()) }
+                    }
+                    other => other,
+                };
+                link.waiting.push(event);
+            }
+            Woken::Dialled(dialled) => {
+                let Socket::Dialling(attempt, _) = &socket else { continue };
+                let attempt = *attempt;
+                match dialled {
+                    Ok(stream) => {
+                        socket = Socket::Open(Box::new(Connection::new(attempt, stream)));
+                        link.report(Input::Connected(link.id, attempt)).await;
+                    }
+                    Err(error) => {
+                        tracing::debug!(session = link.id.0, %error, "connection: not reached");
+                        socket = Socket::None;
+                        link.report(Input::ConnectFailed(link.id, attempt)).await;
+                    }
+                }
+            }
+            Woken::Read(Some(Ok(line))) => {
+                let Socket::Open(connection) = &mut socket else { continue };
+                match connection.side.line(line) {
+                    Ok(GatewayEvent::Line(line)) => {
+                        let text = line.slice(..line.len().saturating_sub(2));
+                        link.waiting.push(Event::Line(text));
+                    }
+                    heard => {
+                        // Its answer decides what becomes of the connection: nothing more is read before.
+                        connection.paused = true;
+                        let attempt = connection.attempt;
+                        link.report(Input::Heard(link.id, attempt, heard)).await;
+                    }
+                }
+            }
+            Woken::Read(ended) => {
+                let Socket::Open(connection) = &socket else { continue };
+                let attempt = connection.attempt;
+                let fault = match ended {
+                    Some(Err(LineError::TooLong)) => Some(PeerFault::TooLong),
+                    None if !connection.read.read_buffer().is_empty() => Some(PeerFault::Torn),
+                    _ => None,
+                };
+                cut = cut_of(&socket).or(cut);
+                socket = Socket::None;
+                link.report(Input::Ended(link.id, attempt, fault)).await;
+            }
+            Woken::Wrote(wrote) => {
+                let Socket::Open(connection) = &mut socket else { continue };
+                match wrote {
+                    Ok(_) => connection.taken = Instant::now(),
+                    Err(_) => {
+                        connection.deaf = true;
+                        connection.writing.clear();
+                    }
+                }
+            }
+            Woken::Stalled => {
+                let Socket::Open(connection) = &socket else { continue };
+                let attempt = connection.attempt;
+                cut = cut_of(&socket).or(cut);
+                socket = Socket::None;
+                link.report(Input::Ended(link.id, attempt, Some(PeerFault::Stalled))).await;
+            }
+            Woken::Line(Some(line)) => {
+                if let Socket::Open(connection) = &mut socket {
+                    connection.begin(line);
+                }
+            }
+            Woken::Line(None) => lines = false,
+        }
+    }
+}
+
+/// Hands the next event over; whether there was somebody to take it.
+fn deliver(
+    permit: Result<mpsc::Permit<'_, Event>, mpsc::error::SendError<()>>,
+    waiting: &mut Waiting,
+) -> bool {
+    match (permit, waiting.pop()) {
+        (Ok(permit), Some(event)) => {
+            permit.send(event);
+            true
+        }
+        (Ok(_), None) => true,
+        (Err(_), _) => false,
+    }
+}
+
+/// A line of the application's that has been begun and not written whole.
+fn cut_of(socket: &Socket) -> Option<Bytes> {
+    match socket {
+        Socket::Open(connection)
+            if connection.standing && (!connection.writing.is_empty() || connection.deaf) =>
+        {
+            Some(connection.whole.slice(..connection.whole.len().saturating_sub(2)))
+        }
+        _ => None,
+    }
+}
+
+impl Connection {
+    fn new(attempt: Attempt, stream: TcpStream) -> Self {
+        // Lines are short and somebody waits for each.
+        let _ = stream.set_nodelay(true);
+        let (read, write) = stream.into_split();
+        Self {
+            attempt,
+            read: FramedRead::with_capacity(read, LineCodec::default(), LINE_ROOM),
+            write,
+            side: GatewaySide::default(),
+            writing: Bytes::new(),
+            whole: Bytes::new(),
+            taken: Instant::now(),
+            paused: false,
+            standing: false,
+            deaf: false,
+        }
+    }
+
+    fn begin(&mut self, line: Bytes) {
+        (self.whole, self.writing, self.taken) = (line.clone(), line, Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/ashtide-client/src/driver.rs
@@ -0,0 +1,491 @@
+//! The tokio driver: sockets round the core, and decides nothing.
+//!
+//! One task owns the [`Pool`] and carries out its effects; one task a session owns the session's socket, so
+//! there is never more than one, and passes lines. The pool's task never waits for a session's, and a
+//! session's task goes on hearing the pool while its application does not read.
+
+use std::collections::{HashMap, VecDeque};
+use std::path::PathBuf;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use ashtide_wire::AskingError;
+use bytes::Bytes;
+use futures_util::{Sink, Stream};
+use rand::TryRngCore;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+use tokio_util::sync::{CancellationToken, PollSender};
+
+use crate::connection::{self, Command, Link};
+use crate::pool::{Effect, Event as Input, Figures, Pool};
+use crate::{Address, GaveUp, Learnt, Loss, Notice, SessionId, Settings, SettingsError, Wish, clock};
+
+/// Lines each way that may wait between an application and its session.
+pub const LINES: usize = 64;
+/// Reports that may wait for the pool's task before sessions have to.
+const REPORTS: usize = 1024;
+/// Commands that may wait for a session's task: it takes them at once, whatever else it does.
+const COMMANDS: usize = 16;
+/// The pool looks at the clock at least so often while it waits for something: timers of the runtime do not
+/// count the time that a device sleeps.
+const LOOK: Duration = Duration::from_secs(1);
+/// What was learnt is written at most so often.
+const SAVE: Duration = Duration::from_secs(1);
+
+/// What an application hears of its session, in order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A line of the server's, without its CRLF.
+    Line(Bytes),
+    /// The connection stands, or stands again.
+    Up {
+        /// By which balancer.
+        at: std::net::SocketAddr,
+        /// The server's receipt.
+        receipt: Bytes,
+        /// Attempts that it took.
+        tries: u32,
+        /// Whether the session had stood before.
+        again: bool,
+    },
+    /// The balancer sent the client away; the session returns.
+    Moved,
+    /// The connection broke, or the network went; the session returns.
+    Broken {
+        /// What happened.
+        why: Loss,
+        /// A line that was being written; the server may have it or not.
+        cut: Option<Bytes>,
+    },
+    /// It tries to come back after this time.
+    Returning(Duration),
+    /// An attempt came to nothing, and another follows.
+    Retrying {
+        /// What became of it.
+        last: crate::Setback,
+        /// The wait until the next.
+        after: Duration,
+    },
+    /// The application did not read for so long that so many notices were left out here.
+    Missed(u64),
+    /// The session is over. Nothing follows.
+    Ended(GaveUp),
+}
+
+/// Why no client could be built.
+#[derive(Debug, thiserror::Error)]
+pub enum BuildError {
+    /// A setting cannot be so.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// There is no address to go to.
+    #[error("addresses: none, at least one is needed")]
+    NoAddress,
+    /// The system has no random numbers for the jitter.
+    #[error("no random numbers: {0}")]
+    Random(String),
+}
+
+/// Why a line cannot be sent.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SendError {
+    /// The session is over.
+    #[error("the session is over")]
+    Over,
+    /// The line holds a line end, or is empty.
+    #[error("a line has no line end in it, and something else")]
+    Form,
+    /// The line is longer than a line may be.
+    #[error("a line of {0} bytes, {most} at most", most = ashtide_wire::MAX_LINE - 2)]
+    TooLong(usize),
+}
+
+/// Why a session did not come up.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error(transparent)]
+pub struct ConnectError(#[from] pub GaveUp);
+
+impl From<AskingError> for ConnectError {
+    fn from(error: AskingError) -> Self {
+        Self(GaveUp::Wish(error))
+    }
+}
+
+/// Builds a [`Client`].
+#[derive(Debug, Default)]
+pub struct Builder {
+    settings: Settings,
+    addresses: Vec<Address>,
+    state: Option<PathBuf>,
+    seed: Option<u64>,
+}
+
+impl Builder {
+    /// The balancers' addresses.
+    #[must_use]
+    pub fn addresses(mut self, addresses: impl IntoIterator<Item = Address>) -> Self {
+        self.addresses = addresses.into_iter().collect();
+        self
+    }
+
+    /// The knobs.
+    #[must_use]
+    pub fn settings(mut self, settings: Settings) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// Keeps in this file what was learnt, for the next process. A file that cannot be used is left out
+    /// with a warning.
+    #[must_use]
+    pub fn state(mut self, file: impl Into<PathBuf>) -> Self {
+        self.state = Some(file.into());
+        self
+    }
+
+    /// A number of the device's own. The system's entropy is mixed in all the same.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = Some(seed);
+        self
+    }
+
+    /// Starts the client's task on the runtime that this is called on.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a setting cannot be so, or where there is no address.
+    ///
+    /// # Panics
+    ///
+    /// Outside a tokio runtime, as `tokio::spawn` does.
+    pub fn build(self) -> Result<Client, BuildError> {
+        if self.addresses.is_empty() {
+            return Err(BuildError::NoAddress);
+        }
+        let entropy =
+            rand::rngs::OsRng.try_next_u64().map_err(|error| BuildError::Random(error.to_string()))?;
+        let stall = self.settings.stall_within;
+        let mut pool = Pool::new(self.settings, entropy ^ self.seed.unwrap_or_default())?;
+        let now = clock::now();
+        pool.handle(now, Input::Addresses(self.addresses), &mut Vec::new());
+        if let Some(path) = &self.state {
+            match Learnt::read(path, clock::unix_ms()) {
+                Ok(Some((learnt, ago))) => pool.recall(now, &learnt, ago),
+                Ok(None) => {}
+                Err(error) => tracing::warn!(path = %path.display(), %error, "state: not used, begun anew"),
+            }
+        }
+        let (reports, heard) = mpsc::channel(REPORTS);
+        let (asks, asked) = mpsc::channel(REPORTS);
+        let task = Task {
+            pool,
+            sessions: HashMap::new(),
+            reports: reports.clone(),
+            state: self.state,
+            saved: (Instant::now(), Learnt::default()),
+            effects: Vec::new(),
+            stall,
+        };
+        tokio::spawn(task.run(heard, asked));
+        Ok(Client { asks })
+    }
+}
+
+/// What handles ask of the pool's task.
+enum Ask {
+    Open(Box<Wish>, oneshot::Sender<Handles>),
+    Input(Input),
+    Figures(oneshot::Sender<(Figures, usize)>),
+}
+
+struct Handles {
+    events: mpsc::Receiver<Event>,
+    lines: mpsc::Sender<Bytes>,
+    /// Cancelled when the application's handle is dropped.
+    gone: CancellationToken,
+}
+
+/// All sessions of a process to one site or several. Clones are handles to the same one; it ends with the
+/// last of them and of its sessions.
+#[derive(Debug, Clone)]
+pub struct Client {
+    asks: mpsc::Sender<Ask>,
+}
+
+impl Client {
+    /// A builder with the default settings.
+    pub fn builder() -> Builder {
+        Builder::default()
+    }
+
+    /// Asks for a session, and returns at once: its first event says whether it stands or is over.
+    pub async fn open(&self, wish: Wish) -> Session {
+        let (answer, handles) = oneshot::channel();
+        let _ = self.asks.send(Ask::Open(Box::new(wish), answer)).await;
+        // The task only ends with its last handle, and this is one; if it was torn down with its runtime,
+        // the session is over before it begins.
+        let handles = handles.await.unwrap_or_else(|_| Handles {
+            events: mpsc::channel(1).1,
+            lines: mpsc::channel(1).0,
+            gone: CancellationToken::new(),
+        });
+        Session {
+            events: handles.events,
+            lines: PollSender::new(handles.lines),
+            gone: handles.gone.drop_guard(),
+            over: false,
+            _client: self.clone(),
+        }
+    }
+
+    /// Asks for a session and waits until it stands. Dropping the future closes what it had begun.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason for which the session ended before it stood.
+    pub async fn connect(&self, wish: Wish) -> Result<Session, ConnectError> {
+        let mut session = self.open(wish).await;
+        loop {
+            match session.next_event().await {
+                Some(Event::Up { .. }) => return Ok(session),
+                Some(Event::Ended(why)) => return Err(ConnectError(why)),
+                Some(_) => {}
+                None => return Err(ConnectError(GaveUp::Closed)),
+            }
+        }
+    }
+
+    /// Takes a new list of addresses. Standing connections stay.
+    pub async fn addresses(&self, addresses: Vec<Address>) {
+        let _ = self.asks.send(Ask::Input(Input::Addresses(addresses))).await;
+    }
+
+    /// The device has no network: all connections are closed, and nothing is tried.
+    pub async fn network_lost(&self) {
+        let _ = self.asks.send(Ask::Input(Input::NetworkLost)).await;
+    }
+
+    /// The device has a network, perhaps another.
+    pub async fn network_back(&self) {
+        let _ = self.asks.send(Ask::Input(Input::NetworkBack)).await;
+    }
+
+    /// Counts since the client was built, and the sessions that are not over.
+    pub async fn figures(&self) -> (Figures, usize) {
+        let (answer, figures) = oneshot::channel();
+        let _ = self.asks.send(Ask::Figures(answer)).await;
+        figures.await.unwrap_or_default()
+    }
+}
+
+/// One session: a stream of [`Event`]s and a sink of lines. Dropping it closes it.
+#[derive(Debug)]
+pub struct Session {
+    events: mpsc::Receiver<Event>,
+    lines: PollSender<Bytes>,
+    #[expect(dead_code, reason = "its drop tells the session's task that nobody wants it any more")]
+    gone: tokio_util::sync::DropGuard,
+    over: bool,
+    /// The pool's task lives for as long as a session does.
+    _client: Client,
+}
+
+impl Session {
+    /// The next event; none once [`Event::Ended`] has been read. Cancel-safe.
+    pub async fn next_event(&mut self) -> Option<Event> {
+        std::future::poll_fn(|cx| Pin::new(&mut *self).poll_next(cx)).await
+    }
+
+    /// Sends one line, without a line end. Waits while [`LINES`] lines are waiting; lines that have not been
+    /// begun when a connection ends go out on the next one. Cancel-safe: the line is taken whole or not.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the session is over or the line cannot be one.
+    pub async fn send(&mut self, line: &[u8]) -> Result<(), SendError> {
+        let line = encode(line)?;
+        std::future::poll_fn(|cx| self.lines.poll_reserve(cx)).await.map_err(|_| SendError::Over)?;
+        self.lines.send_item(line).map_err(|_| SendError::Over)
+    }
+}
+
+/// A line with its CRLF, if it can be one.
+fn encode(line: &[u8]) -> Result<Bytes, SendError> {
+    if line.is_empty() || line.iter().any(|byte| matches!(byte, b'\r' | b'\n')) {
+        return Err(SendError::Form);
+    }
+    if line.len() + 2 > ashtide_wire::MAX_LINE {
+        return Err(SendError::TooLong(line.len()));
+    }
+    Ok([line, b"\r\n"].concat().into())
+}
+
+impl Stream for Session {
+    type Item = Event;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Event>> {
+        if self.over {
+            return Poll::Ready(None);
+        }
+        let event = ready!(self.events.poll_recv(cx));
+        self.over = matches!(event, None | Some(Event::Ended(_)));
+        Poll::Ready(event)
+    }
+}
+
+impl Sink<Bytes> for Session {
+    type Error = SendError;
+
+    fn poll_ready(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<(), SendError>> {
+        self.lines.poll_reserve(cx).map_err(|_| SendError::Over)
+    }
+
+    fn start_send(mut self: Pin<&mut Self>, line: Bytes) -> Result<(), SendError> {
+        let line = encode(&line)?;
+        self.lines.send_item(line).map_err(|_| SendError::Over)
+    }
+
+    /// A line that was taken is the session's; what becomes of it is told by events.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<(), SendError>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<(), SendError>> {
+        self.lines.close();
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// The task that owns the pool.
+struct Task {
+    pool: Pool,
+    sessions: HashMap<SessionId, mpsc::Sender<Command>>,
+    reports: mpsc::Sender<Input>,
+    state: Option<PathBuf>,
+    /// When what was learnt was last looked at, and what it was then.
+    saved: (Instant, Learnt),
+    effects: Vec<Effect>,
+    stall: Duration,
+}
+
+impl Task {
+    async fn run(mut self, mut reports: mpsc::Receiver<Input>, mut asks: mpsc::Receiver<Ask>) {
+        let mut asking = true;
+        while asking || !self.sessions.is_empty() {
+            let wake = self.pool.next_wake().map(|at| Instant::now() + at.since(clock::now()).min(LOOK));
+            tokio::select! {
+                // Time goes first, as it does in the core.
+                biased;
+                () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => self.input(Input::Time),
+                report = reports.recv() => if let Some(report) = report {
+                    self.input(report);
+                },
+                ask = asks.recv(), if asking => match ask {
+                    Some(ask) => self.ask(ask),
+                    None => asking = false,
+                },
+            }
+            self.save(false);
+        }
+        self.save(true);
+    }
+
+    fn ask(&mut self, ask: Ask) {
+        match ask {
+            Ask::Open(wish, answer) => self.open(*wish, answer),
+            Ask::Input(input) => self.input(input),
+            Ask::Figures(answer) => {
+                // Who asked may have gone.
+                let _ = answer.send((self.pool.figures().clone(), self.pool.len()));
+            }
+        }
+    }
+
+    fn open(&mut self, wish: Wish, answer: oneshot::Sender<Handles>) {
+        let (to_app, events) = mpsc::channel(LINES);
+        let (lines, from_app) = mpsc::channel(LINES);
+        let (commands, commanded) = mpsc::channel(COMMANDS);
+        let gone = CancellationToken::new();
+        let mut effects = std::mem::take(&mut self.effects);
+        let id = self.pool.open(clock::now(), wish, &mut effects);
+        self.effects = effects;
+        let link = Link::new(id, self.reports.clone(), commanded, to_app, from_app, gone.clone(), self.stall);
+        tokio::spawn(connection::run(link));
+        self.sessions.insert(id, commands);
+        if let Err(handles) = answer.send(Handles { events, lines, gone: gone.clone() }) {
+            // Whoever asked has gone: the session's task sees it and leaves.
+            drop(handles);
+            gone.cancel();
+        }
+        self.carry_out();
+    }
+
+    fn input(&mut self, input: Input) {
+        let mut effects = std::mem::take(&mut self.effects);
+        self.pool.handle(clock::now(), input, &mut effects);
+        self.effects = effects;
+        self.carry_out();
+    }
+
+    fn carry_out(&mut self) {
+        let mut behind = VecDeque::new();
+        for effect in self.effects.drain(..) {
+            let (id, command) = match effect {
+                Effect::Dial { session, attempt, at } => (session, Command::Dial(attempt, at)),
+                Effect::Write { session, attempt, line } => (session, Command::Write(attempt, line)),
+                Effect::Close { session, attempt } => (session, Command::Close(attempt)),
+                Effect::Tell(session, notice) => (session, Command::Tell(told(notice))),
+                Effect::End(session, why) => (session, Command::End(why)),
+            };
+            let over = matches!(command, Command::End(_));
+            let Some(commands) = self.sessions.get(&id) else { continue };
+            if commands.try_send(command).is_err() && !over {
+                // Its task takes commands at once, so this is one that has died; the session goes with it.
+                behind.push_back(id);
+            }
+            if over {
+                self.sessions.remove(&id);
+            }
+        }
+        while let Some(id) = behind.pop_front() {
+            if self.sessions.remove(&id).is_some() {
+                tracing::error!(session = id.0, "driver: a session's task does not keep up, closed");
+                self.pool.handle(clock::now(), Input::Leave(id), &mut Vec::new());
+            }
+        }
+    }
+
+    /// Writes what was learnt, if it has changed and was not written just now.
+    fn save(&mut self, last: bool) {
+        let Some(path) = &self.state else { return };
+        if !last && self.saved.0.elapsed() < SAVE {
+            return;
+        }
+        self.saved.0 = Instant::now();
+        let learnt = self.pool.learnt(clock::now());
+        // Times shrink by themselves; that is no news.
+        let same = |a: &Learnt, b: &Learnt| {
+            a.tokens == b.tokens && a.holds.len() == b.holds.len() && a.failing.len() == b.failing.len()
+        };
+        if same(&learnt, &self.saved.1) {
+            return;
+        }
+        if let Err(error) = learnt.write(path, clock::unix_ms()) {
+            tracing::warn!(path = %path.display(), %error, "state: not written");
+        }
+        self.saved.1 = learnt;
+    }
+}
+
+fn told(notice: Notice) -> Event {
+    match notice {
+        Notice::Up { at, receipt, tries, again } => Event::Up { at, receipt, tries, again },
+        Notice::Dropped(Loss::Moved) => Event::Moved,
+        Notice::Dropped(why) => Event::Broken { why, cut: None },
+        Notice::Returning { after } => Event::Returning(after),
+        Notice::Retrying { last, after } => Event::Retrying { last, after },
+    }
+}
--- a/crates/ashtide-client/src/lib.rs
+++ b/crates/ashtide-client/src/lib.rs
@@ -1,8 +1,47 @@
 //! The client library: sessions that keep their deadlines, bound their retries, honour refusals and spread
-//! their returns.
+//! their returns, so that a site which is overloaded sees the load that is asked for and not a multiple.
+//!
+//! ```no_run
+//! use std::time::Duration;
+//! use ashtide_client::{Address, Client, SessionEvent, Wish};
+//!
+//! # async fn app() -> Result<(), Box<dyn std::error::Error>> {
+//! let client = Client::builder().addresses([Address::new("127.0.0.1:8443".parse()?)]).build()?;
+//! let wish = Wish::new("resident-reading", "meter-77", Duration::from_millis(3200));
+//! let mut session = client.connect(wish).await?;
+//! session.send(b"READ 4711").await?;
+//! while let Some(event) = session.next_event().await {
+//!     match event {
+//!         SessionEvent::Line(line) => println!("{}", String::from_utf8_lossy(&line)),
+//!         SessionEvent::Moved | SessionEvent::Broken { .. } => println!("one moment, please"),
+//!         SessionEvent::Ended(why) => println!("over: {why}"),
+//!         _ => {}
+//!     }
+//! }
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! Two layers. [`Pool`] is the core: all sessions of a process as one state machine that is handed events
+//! and the time and returns effects; it knows no socket and reads no clock, so that a hundred thousand
+//! sessions run in virtual time as they would in theirs. [`Client`] and [`Session`] are the thin tokio
+//! driver round it.
+//!
+//! What holds, whatever happens:
+//!
+//! - A session has one attempt out at most. An attempt's socket is closed before the next one is dialled.
+//! - A session ends exactly once, with a [`GaveUp`] that says why.
+//! - `d` never tells more than is left of the deadline; nothing comes up after it. It may be overrun by one
+//!   [`TICK`] where nothing happens, and by as long as the driver is late.
+//! - After `BUSY MS` neither this session nor another of the pool and class comes back to the site before
+//!   MS is over, unless that is more than [`Settings::busy_most`].
+//! - Retries are no more than the budget has been paid for ([`Settings::budget_ratio`] of first tries).
 
 mod address;
 mod budget;
+mod clock;
+mod connection;
+mod driver;
 mod learnt;
 mod moment;
 mod pool;
@@ -10,8 +49,11 @@
 mod settings;
 
 pub use address::{Address, MAX_ADDRESSES, MAX_HOLDS};
+pub use driver::{
+    BuildError, Builder, Client, ConnectError, Event as SessionEvent, LINES, SendError, Session,
+};
 pub use learnt::{Failing, Held, Learnt, LearntError};
 pub use moment::{Moment, TICK};
 pub use pool::{Effect, Event, Figures, GATHER, Pool};
-pub use session::{Attempt, Drop, GaveUp, Notice, SessionId, Setback, Wish};
+pub use session::{Attempt, GaveUp, Loss, Notice, SessionId, Setback, Wish};
 pub use settings::{Settings, SettingsError};
--- a/crates/ashtide-client/src/pool.rs
+++ b/crates/ashtide-client/src/pool.rs
@@ -14,7 +14,7 @@
 use crate::learnt::{Failing, Held, Learnt};
 use crate::session::{After, Session, State};
 use crate::{
-    Address, Attempt, Drop, GaveUp, Moment, Notice, SessionId, Setback, Settings, SettingsError, TICK, Wish,
+    Address, Attempt, GaveUp, Loss, Moment, Notice, SessionId, Setback, Settings, SettingsError, TICK, Wish,
 };
 
 /// A session that was dropped sees for so long how many drop with it, before it draws its wait.
@@ -538,9 +538,9 @@
                 self.setback(now, id, session, Setback::Fault(fault), out)
             }
             (State::Standing, Ok(GatewayEvent::Bye)) => self.over(id, session, GaveUp::Served, out),
-            (State::Standing, Ok(GatewayEvent::Move)) => self.dropped(now, id, session, Drop::Moved, out),
+            (State::Standing, Ok(GatewayEvent::Move)) => self.dropped(now, id, session, Loss::Moved, out),
             (State::Standing, Ok(_)) => Fate::GoesOn,
-            (State::Standing, Err(fault)) => self.dropped(now, id, session, Drop::Broke(Some(fault)), out),
+            (State::Standing, Err(fault)) => self.dropped(now, id, session, Loss::Broke(Some(fault)), out),
             _ => {
                 self.figures.late += 1;
                 Fate::GoesOn
@@ -572,7 +572,7 @@
             }
             State::Standing => {
                 session.state = State::Gathering;
-                self.dropped(now, id, session, Drop::Broke(fault), out)
+                self.dropped(now, id, session, Loss::Broke(fault), out)
             }
             _ => {
                 self.figures.late += 1;
@@ -665,10 +665,10 @@
         advised + self.draw(window).max(TICK)
     }
 
-    const fn base(&self, dropped: Drop) -> Duration {
+    const fn base(&self, dropped: Loss) -> Duration {
         match dropped {
-            Drop::Moved => self.settings.move_window,
-            Drop::Broke(_) | Drop::Offline => self.settings.break_window,
+            Loss::Moved => self.settings.move_window,
+            Loss::Broke(_) | Loss::Offline => self.settings.break_window,
         }
     }
 
@@ -722,17 +722,17 @@
         now: Moment,
         id: SessionId,
         session: &mut Session,
-        drop: Drop,
+        drop: Loss,
         out: &mut Vec<Effect>,
     ) -> Fate {
         match drop {
-            Drop::Moved => self.figures.moved += 1,
-            Drop::Broke(_) | Drop::Offline => self.figures.broken += 1,
+            Loss::Moved => self.figures.moved += 1,
+            Loss::Broke(_) | Loss::Offline => self.figures.broken += 1,
         }
         if !session.wish.returns {
             return self.over(id, session, GaveUp::Ended, out);
         }
-        let quick = now.since(session.since) < self.settings.quick && drop != Drop::Offline;
+        let quick = now.since(session.since) < self.settings.quick && drop != Loss::Offline;
         session.quick = if quick { session.quick + 1 } else { 0 };
         if session.quick >= self.settings.quick_most {
             return self.over(id, session, GaveUp::Unstable { breaks: session.quick }, out);
@@ -744,7 +744,7 @@
         // Until its wait is drawn; a driver that never closes the socket must not hold it for ever.
         session.deadline = Some(now + self.settings.window_most + self.settings.return_within);
         out.push(Effect::Tell(id, Notice::Dropped(drop)));
-        if drop == Drop::Offline {
+        if drop == Loss::Offline {
             session.deadline = Some(now + self.settings.offline_within);
             return self.close_then(now, id, session, After::Offline, out);
         }
@@ -808,7 +808,7 @@
             session.deadline = Some(now + self.settings.offline_within);
         }
         match session.state {
-            State::Standing => self.dropped(now, id, session, Drop::Offline, out),
+            State::Standing => self.dropped(now, id, session, Loss::Offline, out),
             State::Asked if !session.wish.repeatable => {
                 self.over(id, session, GaveUp::NotRepeatable { last: Setback::Offline }, out)
             }
@@ -840,7 +840,7 @@
         out: &mut Vec<Effect>,
     ) -> Fate {
         if session.again {
-            session.dropped = Drop::Offline;
+            session.dropped = Loss::Offline;
             session.deadline = None;
             // A return that had begun begins anew: the network's going was no fault of the site.
             (session.tries, session.refusals) = (0, 0);
--- a/crates/ashtide-client/src/session.rs
+++ b/crates/ashtide-client/src/session.rs
@@ -150,7 +150,7 @@
 
 /// Why a standing connection is no more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Drop {
+pub enum Loss {
     /// The balancer sent the client away.
     Moved,
     /// It broke; the peer's fault where there was one.
@@ -174,7 +174,7 @@
         again: bool,
     },
     /// The connection is no more; the session will return.
-    Dropped(Drop),
+    Dropped(Loss),
     /// It tries to come back after this time.
     Returning {
         /// The wait that was drawn.
@@ -236,7 +236,7 @@
     pub(crate) refusals: u32,
     /// It has stood before.
     pub(crate) again: bool,
-    pub(crate) dropped: Drop,
+    pub(crate) dropped: Loss,
     pub(crate) last: Setback,
     pub(crate) since: Moment,
     /// Quick breaks in a row.
@@ -256,7 +256,7 @@
             tries: 0,
             refusals: 0,
             again: false,
-            dropped: Drop::Moved,
+            dropped: Loss::Moved,
             last: Setback::Untried,
             since: now,
             quick: 0,
--- a/crates/ashtide-client/src/settings.rs
+++ b/crates/ashtide-client/src/settings.rs
@@ -11,6 +11,8 @@
     pub sessions: usize,
     /// A connection that does not stand by then is given up.
     pub connect_within: Duration,
+    /// A peer that takes no byte of a line for so long does not read, and its connection is closed.
+    pub stall_within: Duration,
     /// Attempts of a first placing, the first among them.
     pub tries: u32,
     /// Attempts of a return after a move or a break, the first among them.
@@ -58,6 +60,7 @@
             zone: None,
             sessions: 65_536,
             connect_within: Duration::from_secs(1),
+            stall_within: Duration::from_secs(10),
             tries: 3,
             return_tries: 6,
             return_within: Duration::from_secs(30),
@@ -104,6 +107,7 @@
         const DAY: Duration = Duration::from_secs(86_400);
         for (key, time) in [
             ("connect_within", self.connect_within),
+            ("stall_within", self.stall_within),
             ("return_within", self.return_within),
             ("offline_within", self.offline_within),
             ("retry_from", self.retry_from),
--- a/crates/ashtide-client/tests/core.rs
+++ b/crates/ashtide-client/tests/core.rs
@@ -373,6 +373,15 @@
     assert!(pool.is_empty() && pool.next_wake().is_none());
 }
 
+#[test]
+fn ticks_are_coarse_and_deadlines_are_not() {
+    for (ms, stands) in [(3202, true), (3203, false), (3206, false)] {
+        let (mut pool, id, mut out) = asked(Settings::default(), Wish::new("meter", "k", 3203 * MS));
+        pool.handle(at(ms), Event::Heard(id, Attempt(1), up()), &mut out);
+        assert_eq!(pool.stands(id), stands, "up after {ms} ms");
+    }
+}
+
 #[test]
 fn up_beside_the_close_is_a_break_and_not_two() {
     let (mut pool, id, mut out) = asked(Settings::default(), Wish::new("meter", "k", 3200 * MS));
@@ -381,7 +390,7 @@
     pool.handle(at(5), Event::Ended(id, Attempt(1), None), &mut out);
     assert!(matches!(
         out[..],
-        [Effect::Tell(_, Notice::Up { .. }), Effect::Tell(_, Notice::Dropped(Drop::Broke(None)))]
+        [Effect::Tell(_, Notice::Up { .. }), Effect::Tell(_, Notice::Dropped(Loss::Broke(None)))]
     ));
     assert_eq!((pool.figures().up, pool.figures().broken), (1, 1));
 }
--- a/crates/ashtide-rehearsal/src/fleet.rs
+++ b/crates/ashtide-rehearsal/src/fleet.rs
@@ -15,12 +15,13 @@
 use tokio::task::JoinSet;
 use tokio_util::codec::FramedRead;
 
+use crate::ledger::Ledger;
 use crate::{ID_LENGTH, RehearsalError};
 use ashtide::quic::header::MIN_INITIAL;
 use ashtide::quic::initial::{self, CONNECTION_REFUSED, Side};
 use ashtide::quic::placing::{issue, server_key};
 use ashtide::quic::{ConnectionId, Header, LongKind};
-use ashtide_wire::{LineCodec, PONG};
+use ashtide_wire::{LineCodec, Open, PONG};
 
 /// Length of the ids that stand-in clients choose for themselves.
 pub const CLIENT_ID: usize = 8;
@@ -66,12 +67,12 @@
 }
 
 impl Server {
-    async fn start(name: String) -> Result<Self, RehearsalError> {
+    async fn start(name: String, ledger: Ledger) -> Result<Self, RehearsalError> {
         let (lines, quic) = Self::bind().await?;
         let address = lines.local_addr()?;
         let (seen, mood) = (Arc::new(Seen::default()), watch::Sender::new(Mood::Well));
         let mut tasks = JoinSet::new();
-        tasks.spawn(serve_lines(lines, mood.subscribe(), seen.clone()));
+        tasks.spawn(serve_lines(lines, mood.subscribe(), seen.clone(), ledger));
         tasks.spawn(Quic::new(&name, mood.subscribe(), seen.clone()).serve(quic));
         Ok(Self { name, address, seen, mood, tasks })
     }
@@ -97,20 +98,24 @@
     }
 }
 
-async fn serve_lines(listener: TcpListener, mood: watch::Receiver<Mood>, seen: Arc<Seen>) {
+async fn serve_lines(listener: TcpListener, mood: watch::Receiver<Mood>, seen: Arc<Seen>, ledger: Ledger) {
     // Connections end with the server.
     let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
         while connections.try_join_next().is_some() {}
-        connections.spawn(serve_line(stream, mood.clone(), seen.clone()));
+        connections.spawn(serve_line(stream, mood.clone(), seen.clone(), ledger.clone()));
     }
 }
 
-async fn serve_line(stream: TcpStream, mood: watch::Receiver<Mood>, seen: Arc<Seen>) {
+async fn serve_line(stream: TcpStream, mood: watch::Receiver<Mood>, seen: Arc<Seen>, ledger: Ledger) {
     let (read, mut write) = stream.into_split();
     let mut lines = FramedRead::new(read, LineCodec::default());
     let mut up = false;
+    let mut out = None;
     while let Some(Ok(line)) = lines.next().await {
+        if let (false, Ok(open)) = (up, Open::parse(line.clone())) {
+            out = Some(ledger.arrived(&open));
+        }
         let now = *mood.borrow();
         let answer: Vec<u8> = match (up, now) {
             (_, Mood::Silent) => continue,
@@ -127,6 +132,8 @@
             }
             (true, _) => line.to_vec(),
         };
+        // Answered: the attempt is no longer out.
+        drop(out.take());
         if write.write_all(&answer).await.is_err() {
             return;
         }
@@ -253,6 +260,8 @@
     pub discovery: SocketAddr,
     /// The servers.
     pub servers: Vec<Server>,
+    /// What they have seen together.
+    pub ledger: Ledger,
     list: watch::Sender<List>,
     /// The running service, and those that it replaced.
     services: JoinSet<()>,
@@ -285,9 +294,9 @@
     ///
     /// Fails where the system has no ports for them.
     pub async fn start(servers: usize) -> Result<Self, RehearsalError> {
-        let mut all = Vec::new();
+        let (mut all, ledger) = (Vec::new(), Ledger::default());
         for number in 0..servers {
-            all.push(Server::start(format!("s-{number}")).await?);
+            all.push(Server::start(format!("s-{number}"), ledger.clone()).await?);
         }
         let states = all.iter().map(|server| (server.name.clone(), (server.address, "SERVING"))).collect();
         let list = watch::Sender::new(List { version: 1, states });
@@ -295,7 +304,7 @@
         let discovery = listener.local_addr()?;
         let mut tasks = JoinSet::new();
         tasks.spawn(discover(listener, list.subscribe()));
-        Ok(Self { discovery, servers: all, list, services: tasks })
+        Ok(Self { discovery, servers: all, ledger, list, services: tasks })
     }
 
     /// Discovery answers at a new address, with versions of its own that begin anew. The old service
--- a/crates/ashtide-rehearsal/src/lib.rs
+++ b/crates/ashtide-rehearsal/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod clients;
 pub mod daemon;
 pub mod fleet;
+pub mod ledger;
+pub mod relay;
 pub mod scenarios;
 
 use std::io;
