--- a/crates/ashtide-client/src/pool.rs
+++ b/crates/ashtide-client/src/pool.rs
@@ -287,6 +287,11 @@
         self.sessions.get(&id).is_some_and(|session| session.state == State::Standing)
     }
 
+    /// The number of this session's latest attempt, if there is such a session.
+    pub fn attempt(&self, id: SessionId) -> Option<Attempt> {
+        self.sessions.get(&id).map(|session| session.attempt)
+    }
+
     /// Counts since the pool began.
     pub fn figures(&self) -> &Figures {
         &self.shared.figures
--- /dev/null
+++ b/crates/ashtide-lab/src/real.rs
@@ -0,0 +1,171 @@
+//! A mass return over real sockets: daemons, stand-in servers that count, and client processes.
+//!
+//! All sessions stand on two balancers of the clients' own zone, which are killed at one moment; they return
+//! to two others. The servers' ledger tells who came when and whether any two attempts of one session
+//! overlapped. Each client process holds many devices, each a client of its own as on a phone.
+
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+
+use ashtide_client::{Address, Client, Session, SessionEvent, Settings, Wish};
+use ashtide_rehearsal::daemon::{Daemon, Options};
+use ashtide_rehearsal::fleet::Fleet;
+use ashtide_rehearsal::{RehearsalError, within};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, ChildStdin, Command};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+use crate::wave::Wave;
+
+/// Balancers of each zone.
+const PAIR: usize = 2;
+/// Devices that open at the same time in one process.
+const AT_ONCE: usize = 50;
+/// Bringing all sessions up, or back, takes less.
+const LONGEST: Duration = Duration::from_secs(120);
+
+/// Plays a return of `sessions` devices in `processes` client processes, against `daemon`.
+///
+/// # Errors
+///
+/// Fails where something cannot be started or does not come in time.
+pub async fn wave(daemon: &Path, sessions: usize, processes: usize) -> Result<Wave, RehearsalError> {
+    let fleet = Fleet::start(4).await?;
+    // Two descriptors a session, on a balancer that may get them all but for its share, and some to spare.
+    let options = Options { sockets: (2 * sessions / PAIR * 6 / 5 + 512).min(19_900), ..Options::default() };
+    let mut near = Vec::new();
+    let mut far = Vec::new();
+    for _ in 0..PAIR {
+        near.push(Daemon::start(daemon, &fleet, &options).await?);
+        far.push(Daemon::start(daemon, &fleet, &options).await?);
+    }
+    let near_at = near.iter().map(|daemon| format!("{}@near", daemon.lines));
+    let addresses: Vec<String> =
+        near_at.chain(far.iter().map(|daemon| format!("{}@far", daemon.lines))).collect();
+    let (heard, mut hear) = mpsc::channel(processes * 2);
+    let mut clients: Vec<(Child, ChildStdin)> = Vec::new();
+    for process in 0..processes {
+        let share = sessions / processes + usize::from(process < sessions % processes);
+        let mut child = Command::new(std::env::current_exe()?)
+            .args(["client", "devices", &share.to_string(), &process.to_string()])
+            .args(&addresses)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()?;
+        let (stdin, stdout) = (child.stdin.take(), child.stdout.take());
+        let (Some(stdin), Some(stdout)) = (stdin, stdout) else {
+            return Err(RehearsalError::Late("a client process"));
+        };
+        let heard = heard.clone();
+        tokio::spawn(async move {
+            let mut lines = BufReader::new(stdout).lines();
+            while let Ok(Some(line)) = lines.next_line().await {
+                if heard.send(line).await.is_err() {
+                    return;
+                }
+            }
+        });
+        clients.push((child, stdin));
+    }
+    all_say(&mut hear, processes, "up").await?;
+    let before = fleet.ledger.arrivals().len();
+    let cut = Instant::now();
+    for daemon in &mut near {
+        daemon.kill().await?;
+    }
+    let waits = all_say(&mut hear, processes, "back").await?;
+    let arrivals = fleet.ledger.arrivals()[before..]
+        .iter()
+        .map(|arrival| arrival.at.duration_since(cut).as_micros() as u64)
+        .collect();
+    for (child, stdin) in &mut clients {
+        // The end of its input is its end.
+        let _ = stdin.shutdown().await;
+        let _ = within("the end of a client process", child.wait()).await?;
+    }
+    Ok(Wave::of(sessions, arrivals, waits, fleet.ledger.overlapping()))
+}
+
+/// Waits until every process has said this; what figures it said with it.
+async fn all_say(
+    hear: &mut mpsc::Receiver<String>,
+    processes: usize,
+    word: &'static str,
+) -> Result<Vec<u64>, RehearsalError> {
+    let mut figures = Vec::new();
+    let all = async {
+        for _ in 0..processes {
+            let line = hear.recv().await.unwrap_or_default();
+            let Some(rest) = line.strip_prefix(word) else { return Err(RehearsalError::Late(word)) };
+            figures.extend(rest.split_whitespace().filter_map(|figure| figure.parse::<u64>().ok()));
+        }
+        Ok(())
+    };
+    timeout(LONGEST, all).await.map_err(|_| RehearsalError::Late(word))??;
+    Ok(figures)
+}
+
+/// A client process: devices that open a session each, say when all stand, and when all stand again.
+///
+/// # Errors
+///
+/// Fails where a device does not come up.
+pub async fn devices(count: usize, process: usize, addresses: Vec<Address>) -> Result<(), RehearsalError> {
+    let open = |number: usize| {
+        let addresses = addresses.clone();
+        async move {
+            let settings = Settings { zone: Some("near".to_owned()), ..Settings::default() };
+            let client = Client::builder().addresses(addresses).settings(settings).build().ok()?;
+            let key = format!("device-{process}-{number}");
+            client.connect(Wish::new("meter", key, Duration::from_secs(3))).await.ok()
+        }
+    };
+    let mut sessions: Vec<Session> = Vec::with_capacity(count);
+    let mut opening = FuturesUnordered::new();
+    let mut next = 0;
+    while sessions.len() < count {
+        while next < count && opening.len() < AT_ONCE {
+            opening.push(open(next));
+            next += 1;
+        }
+        match opening.next().await {
+            Some(Some(session)) => sessions.push(session),
+            _ => return Err(RehearsalError::Late("a session")),
+        }
+    }
+    println!("up");
+    let mut waits = Vec::with_capacity(count);
+    let mut returning: FuturesUnordered<_> = sessions
+        .into_iter()
+        .map(|mut session| async move {
+            let mut dropped = None;
+            while let Some(event) = session.next_event().await {
+                match (event, dropped) {
+                    (SessionEvent::Broken { .. } | SessionEvent::Moved, None) => {
+                        dropped = Some(Instant::now())
+                    }
+                    (SessionEvent::Up { .. }, Some(since)) => return Some((session, since.elapsed())),
+                    _ => {}
+                }
+            }
+            None
+        })
+        .collect();
+    let mut back = Vec::with_capacity(count);
+    while let Some(returned) = returning.next().await {
+        if let Some((session, waited)) = returned {
+            back.push(session);
+            waits.push(waited.as_micros().to_string());
+        }
+    }
+    println!("back {}", waits.join(" "));
+    // The parent closes this when it has seen enough.
+    let mut rest = BufReader::new(tokio::io::stdin()).lines();
+    while let Ok(Some(_)) = rest.next_line().await {}
+    Ok(())
+}
--- /dev/null
+++ b/crates/ashtide-lab/src/storm.rs
@@ -0,0 +1,118 @@
+//! The library beside clients without one: the same users, site and trouble, in virtual time.
+
+use std::time::Duration;
+
+use ashtide_client::Settings;
+use serde::Serialize;
+
+use crate::world::{Behaviour, People, SitePlan, Tally, Trouble, World};
+
+/// The trouble begins and ends at these seconds, and the run ends at the last.
+pub const TIMES: (u64, u64, u64) = (30, 50, 180);
+/// A site has recovered once, for so many seconds, no more users wait than...
+const STEADY: usize = 5;
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Every server works at a fifth of its speed, and three tenths of the connections break.
+    Slowed,
+    /// Half of the servers refuse everything, and three tenths of the connections break.
+    HalfRefuse,
+}
+
+/// What one kind of clients came to.
+#[derive(Debug, Clone, Serialize)]
+pub struct Outcome {
+    /// Which clients.
+    pub clients: String,
+    /// Which trouble.
+    pub kind: Kind,
+    /// Attempts that reached the site, from the trouble's beginning on.
+    pub attempts: u64,
+    /// Connections that came up in that time.
+    pub useful: u64,
+    /// Attempts for each of them.
+    pub attempts_per_useful: f64,
+    /// Most attempts in a second.
+    pub peak: u64,
+    /// Seconds from the trouble's end until the site had recovered; none where it had not by the end.
+    pub recovered_s: Option<u64>,
+    /// Time connected over time connected or waited, from the trouble's beginning to the end of the run.
+    pub share_served: f64,
+    /// Users who left without what they wanted.
+    pub lost: u64,
+    /// Attempts beside an older one of the same session.
+    pub overlaps: u64,
+}
+
+/// The clients that are compared.
+pub fn clients() -> Vec<(&'static str, Behaviour)> {
+    let ms = Duration::from_millis;
+    vec![
+        ("library", Behaviour::Library(Box::default())),
+        ("again after 0.2 to 1.7 s", Behaviour::Naive(ms(200), ms(1700))),
+        ("again at once", Behaviour::Naive(ms(0), ms(0))),
+    ]
+}
+
+/// The clients of one study, with settings of one's own for the library.
+pub fn library(settings: Settings) -> Behaviour {
+    Behaviour::Library(Box::new(settings))
+}
+
+/// Plays one trouble with one kind of clients. `scale` 1 is 10 servers, 120 new users a second and 7,200
+/// standing connections; a set-up takes a twentieth of a second, so that six tenths of the site are in use.
+pub fn play(name: &str, behaviour: Behaviour, kind: Kind, scale: f64, seed: u64) -> Outcome {
+    let site = SitePlan {
+        servers: ((10.0 * scale).round() as usize).max(2),
+        rate: 20.0,
+        queue: 40,
+        refusal: 0.05,
+        busy: Duration::from_secs(1),
+        way: Duration::from_millis(10),
+    };
+    let people = People {
+        rate: 12.0 * site.servers as f64,
+        life: 60.0,
+        patience: Duration::from_secs(60),
+        press: (Duration::from_secs(3), Duration::from_secs(15)),
+    };
+    let (from, to, end) = (TIMES.0 * 1_000_000, TIMES.1 * 1_000_000, TIMES.2 * 1_000_000);
+    let (bad, well) = match kind {
+        Kind::Slowed => (Trouble::Speed(0.2), Trouble::Speed(1.0)),
+        Kind::HalfRefuse => (Trouble::Refusing(0.5), Trouble::Refusing(0.0)),
+    };
+    let standing = (people.rate * people.life) as usize;
+    let mut world =
+        World::new(behaviour, site, people, vec![(from, bad), (from, Trouble::Cut(0.3)), (to, well)], seed);
+    world.stand(standing);
+    world.from = from;
+    world.run(end);
+    outcome(name, kind, &world.tally)
+}
+
+fn outcome(name: &str, kind: Kind, tally: &Tally) -> Outcome {
+    let since = &tally.seconds[TIMES.0 as usize..];
+    let (attempts, useful) =
+        since.iter().fold((0, 0), |(attempts, up), second| (attempts + second.attempts, up + second.up));
+    // Before the trouble a few users wait at any time, as a set-up takes its time.
+    let calm = &tally.seconds[TIMES.0 as usize / 2..TIMES.0 as usize];
+    let usual = calm.iter().map(|second| second.waiting).sum::<u64>() / calm.len() as u64;
+    let after = &tally.seconds[TIMES.1 as usize..TIMES.2 as usize];
+    let recovered =
+        after.windows(STEADY).position(|few| few.iter().all(|second| second.waiting <= 2 * usual + 10));
+    Outcome {
+        clients: name.to_owned(),
+        kind,
+        attempts,
+        useful,
+        attempts_per_useful: attempts as f64 / useful.max(1) as f64,
+        peak: since.iter().map(|second| second.attempts).max().unwrap_or_default(),
+        recovered_s: recovered.map(|second| second as u64),
+        share_served: tally.connected as f64 / (tally.connected + tally.waited).max(1) as f64,
+        lost: tally.lost,
+        overlaps: tally.overlaps,
+    }
+}
