Clients leave a balancer whose connection broke, and half-open trials are rare

Killed balancers cost returning devices their whole retry budget: after a break the first return went to another address of the near zone, which was dead too, and the next back to the first, as a break said nothing of its address. Now a break makes an address suspect for 10 s, those that are well go first in whatever zone, and one placing in ten tries an address that had failed where another is well.

--- a/crates/ashtide-client/src/address.rs
+++ b/crates/ashtide-client/src/address.rs
@@ -18,6 +18,10 @@
 const ERRORS: u32 = 3;
 /// While another session tries an address that had failed, those that have no other look again after this.
 const TRIAL_LOOK: Duration = Duration::from_millis(250);
+/// Part of the placings that try an address which had failed, where another is well.
+const TRIAL_PART: f64 = 0.1;
+/// After a break, other addresses go first for so long: a balancer that dies breaks all it has.
+const SUSPECT: Duration = Duration::from_secs(10);
 /// A trial that has not ended by then is over: its session may have gone another way.
 const TRIAL_MOST: Duration = Duration::from_secs(60);
 
@@ -50,6 +54,8 @@
     aside: Moment,
     /// A session tries it since then, after it had failed.
     trial: Option<Moment>,
+    /// A connection by it broke: until then others go first.
+    suspect: Moment,
 }
 
 /// What the book says.
@@ -92,7 +98,14 @@
             }
             let entry = match old.remove(&address.at) {
                 Some(entry) => Entry { address, ..entry },
-                None => Entry { address, streak: 0, errors: 0, aside: Moment::default(), trial: None },
+                None => Entry {
+                    address,
+                    streak: 0,
+                    errors: 0,
+                    aside: Moment::default(),
+                    trial: None,
+                    suspect: Moment::default(),
+                },
             };
             self.entries.insert(entry.address.at, entry);
         }
@@ -139,6 +152,13 @@
                 None => Choice::Nothing,
             };
         }
+        // Those that are well go first, wherever they are; now and then one session finds out whether an
+        // address that had failed is well again. For a device with one session that is a try at stake.
+        let well = |entry: &&Entry| entry.streak == 0 && entry.suspect <= now;
+        if fit.iter().any(well) {
+            let trial = rng.random::<f64>() < TRIAL_PART && fit.iter().any(|entry| entry.streak > 0);
+            fit.retain(|entry| if trial { entry.streak > 0 } else { well(entry) });
+        }
         let near = |entry: &&Entry| self.zone.as_ref().is_some_and(|zone| *zone == entry.address.zone);
         if fit.iter().any(near) {
             fit.retain(near);
@@ -146,9 +166,7 @@
         if fit.len() > 1 {
             fit.retain(|entry| Some(entry.address.at) != avoid);
         }
-        // One session at a time finds out whether an address that had failed is well again.
-        let due = fit.iter().find(|entry| entry.streak > 0).copied();
-        let Some(chosen) = due.or_else(|| fit.choose(rng).copied()) else { return Choice::Nothing };
+        let Some(chosen) = fit.choose(rng) else { return Choice::Nothing };
         let at = chosen.address.at;
         if let Some(entry) = self.entries.get_mut(&at).filter(|entry| entry.streak > 0) {
             entry.trial = Some(now);
@@ -159,7 +177,14 @@
     /// It answered as it should, be it with a refusal.
     pub(crate) fn answered(&mut self, at: SocketAddr) {
         if let Some(entry) = self.entries.get_mut(&at) {
-            (entry.streak, entry.errors, entry.trial) = (0, 0, None);
+            (entry.streak, entry.errors, entry.trial, entry.suspect) = (0, 0, None, Moment::default());
+        }
+    }
+
+    /// A connection by it broke. That may be the server's end, or its own.
+    pub(crate) fn broke(&mut self, now: Moment, at: SocketAddr) {
+        if let Some(entry) = self.entries.get_mut(&at) {
+            entry.suspect = now + SUSPECT;
         }
     }
 
--- a/crates/ashtide-client/src/pool.rs
+++ b/crates/ashtide-client/src/pool.rs
@@ -743,6 +743,9 @@
             return self.over(id, session, GaveUp::Unstable { breaks: session.quick }, out);
         }
         (session.again, session.dropped, session.last) = (true, drop, Setback::Untried);
+        if let (Loss::Broke(_), Some(at)) = (drop, session.address) {
+            self.book.broke(now, at);
+        }
         (session.tries, session.refusals, session.timer) = (0, 0, None);
         self.drops.note(now);
         self.budget.deposit(now);
