--- a/crates/ashtide-client/src/lib.rs
+++ b/crates/ashtide-client/src/lib.rs
@@ -57,3 +57,8 @@
 pub use pool::{Effect, Event, Figures, GATHER, Pool};
 pub use session::{Attempt, GaveUp, Loss, Notice, SessionId, Setback, Wish};
 pub use settings::{Settings, SettingsError};
+
+/// The page for the app's developers; its quick start is compiled with the tests.
+#[cfg(doctest)]
+#[doc = include_str!("../../../docs/client.md")]
+pub struct Page;
--- a/tests/rehearsal.rs
+++ b/tests/rehearsal.rs
@@ -33,4 +33,5 @@
     the_rude_are_told_and_the_others_served: "rude";
     a_new_version_takes_the_clients_over: "upgrade";
     the_backup_takes_over: "vrrp-failover";
+    a_killed_balancers_devices_return_in_no_wave: "return";
 }
