--- a/crates/ashtide-client/tests/core.rs
+++ b/crates/ashtide-client/tests/core.rs
@@ -573,3 +573,38 @@
         assert_eq!(slots.values().sum::<u32>(), 10_000);
     }
 }
+
+/// Where a crowd of devices goes first, and where each goes after its first address has refused a connection.
+fn swing(devices: u64, zone: Option<&str>) -> (BTreeMap<u16, u32>, BTreeMap<(u16, u16), u32>) {
+    let (mut first, mut then) = (BTreeMap::new(), BTreeMap::new());
+    for number in 0..devices {
+        let settings = Settings { zone: zone.map(str::to_owned), ..Settings::default() };
+        let (mut pool, mut out) = (Pool::new(settings, 42).unwrap(), Vec::new());
+        pool.handle(at(0), Event::Addresses((0..6).map(address).collect()), &mut out);
+        let id = pool.open(at(0), Wish::new("meter", format!("meter-{number}"), 3200 * MS), &mut out);
+        let port = |out: &[Effect]| match out.last() {
+            Some(Effect::Dial { at, .. }) => at.port() - 4000,
+            other => panic!("{other:?}"),
+        };
+        let begun = port(&out);
+        *first.entry(begun).or_default() += 1;
+        pool.handle(at(1), Event::ConnectFailed(id, Attempt(1)), &mut out);
+        while !matches!(out.last(), Some(Effect::Dial { attempt: Attempt(2), .. })) {
+            let wake = pool.next_wake().expect("it tries again");
+            pool.handle(wake, Event::Time, &mut out);
+        }
+        *then.entry((begun, port(&out))).or_default() += 1;
+    }
+    (first, then)
+}
+
+#[test]
+fn a_crowd_spreads_over_the_near_zone_and_leaves_a_dead_address_evenly() {
+    let (first, then) = swing(9000, Some("z0"));
+    assert_eq!(first.keys().copied().collect::<Vec<_>>(), [0, 2, 4], "the near zone alone");
+    assert!(first.values().all(|count| (2700..3300).contains(count)), "{first:?}");
+    assert_eq!(then.len(), 6, "from each to the two others near, and nowhere else: {then:?}");
+    assert!(then.values().all(|count| (1250..1750).contains(count)), "{then:?}");
+    let (first, _) = swing(9000, None);
+    assert!(first.len() == 6 && first.values().all(|count| (1250..1750).contains(count)), "{first:?}");
+}
