--- a/crates/ashtide-lab/src/world.rs
+++ b/crates/ashtide-lab/src/world.rs
@@ -102,7 +102,6 @@
     gone: bool,
     /// Attempts at the site that have neither an answer nor an end.
     out: Vec<Attempt>,
-    ever_up: bool,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -361,7 +360,6 @@
             waited: 0,
             gone: false,
             out: Vec::new(),
-            ever_up: false,
         });
         number
     }
@@ -476,7 +474,7 @@
             let waited = self.waits_no_more(at);
             self.tally.waits.push((waited, self.now));
             let device = &mut self.devices[at];
-            (device.standing, device.ever_up) = (Some((server, self.now)), true);
+            device.standing = Some((server, self.now));
             self.standing += 1;
             let (since, content) = (self.now, self.now + device.wants);
             self.at(content, Happens::Content(at, since));
--- a/crates/ashtide-servers/src/generation.rs
+++ b/crates/ashtide-servers/src/generation.rs
@@ -105,7 +105,7 @@
 
     /// See the page: what publishers put into `digest`.
     pub fn digest(&self) -> String {
-        digest_of(&self.servers.values().cloned().collect::<Vec<_>>())
+        digest_of(self.servers.values())
     }
 
     /// The generation that follows from these files, which replace all that was before. What is the same is
--- a/crates/ashtide-servers/src/rules.rs
+++ b/crates/ashtide-servers/src/rules.rs
@@ -188,7 +188,7 @@
             servers.push(server(entry, document, address, zone));
         }
         if let Some(digest) = &document.digest {
-            let is = digest_of(&servers);
+            let is = digest_of(servers.iter());
             if *digest != is && problems.is_empty() {
                 problems.add(
                     file,
@@ -244,8 +244,8 @@
 
 /// The digest of a list: SHA-256, in hex, over one line a server, sorted by name, its fields separated by
 /// single spaces, empty ones as `-`: name, address, zone, kind, weight, since_ms, state.
-pub(crate) fn digest_of(servers: &[Server]) -> String {
-    let mut lines: Vec<String> = servers.iter().map(Server::line).collect();
+pub(crate) fn digest_of<'a>(servers: impl Iterator<Item = &'a Server>) -> String {
+    let mut lines: Vec<String> = servers.map(Server::line).collect();
     lines.sort_unstable();
     let mut hash = Sha256::new();
     for line in lines {
--- a/crates/ashtide-wire/tests/lines.rs
+++ b/crates/ashtide-wire/tests/lines.rs
@@ -1,45 +1,18 @@
 //! Lines under random cuts, random garbage and every fault of a peer, from fixed seeds.
 
+mod common;
+
 use std::time::Duration;
 
 use ashtide_wire::{
     Asking, AskingError, ClientEvent, ClientSide, GatewayEvent, GatewaySide, LineCodec, MAX_LINE, Open,
     OpenError, PeerFault, ServerSide, busy,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
-use tokio_util::codec::Decoder;
-
-fn check<S: Strategy>(strategy: S, test: impl Fn(S::Value) -> Result<(), TestCaseError>) {
-    let cases = Cases { cases: 256, failure_persistence: None, ..Cases::default() };
-    let mut runner = TestRunner::new_with_rng(cases, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
-    runner.run(&strategy, test).unwrap();
-}
-
-/// Feeds bytes in pieces of these sizes, the last one as often as it takes.
-fn feed<D: Decoder>(mut codec: D, bytes: &[u8], cuts: &[usize]) -> Result<Vec<D::Item>, D::Error> {
-    let (mut buffer, mut items, mut rest) = (BytesMut::new(), Vec::new(), bytes);
-    let mut cuts = cuts.iter().copied().chain(std::iter::repeat(usize::MAX));
-    while !rest.is_empty() {
-        let cut = cuts.next().unwrap_or(1).clamp(1, rest.len());
-        buffer.extend_from_slice(&rest[..cut]);
-        rest = &rest[cut..];
-        while let Some(item) = codec.decode(&mut buffer)? {
-            items.push(item);
-        }
-    }
-    Ok(items)
-}
 
-fn cuts() -> impl Strategy<Value = Vec<usize>> {
-    vec(1_usize..40, 0..60)
-}
-
-fn garbage() -> impl Strategy<Value = Vec<u8>> {
-    prop_oneof![vec(any::<u8>(), 0..2000), vec(prop::sample::select(b"\r\n 0af=,{}[]\":c".to_vec()), 0..6000)]
-}
+use common::{check, cuts, feed, garbage};
 
 #[test]
 fn lines_are_the_same_however_they_are_cut() {
--- a/src/main.rs
+++ b/src/main.rs
@@ -31,9 +31,9 @@
 }
 
 fn start(fronts: Option<&Path>) -> Result<(), Box<dyn std::error::Error>> {
+    let config = Config::read(|name| std::env::var(name).ok())?;
     // The platform names no deploy file.
     let fronts = fronts.map(Fronts::read).transpose()?.unwrap_or_default();
-    let config = Config::read(|name| std::env::var(name).ok())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(run(config, fronts))
 }
