Notes: LOAD X that tells how long messages take is no longer read as a load

The settings name both (tellsLoad, tellsDelay). Excluded: processor time (0.02 s in the dearest second), a unit: the two kinds lie three powers of ten apart. Change: `src/notes.rs` tells them apart by their beat; the engine hands the module the delay.

--- a/crates/ashtide-wire/src/server.rs
+++ b/crates/ashtide-wire/src/server.rs
@@ -30,7 +30,8 @@
     Over(Ending),
     /// A line for the client.
     Pass(Bytes),
-    /// A line for the client that tells the connection's load, in microseconds of work a second.
+    /// A line for the client that tells the connection's load, in microseconds of work a second, or where
+    /// the settings say so the milliseconds that messages take at the server.
     Load(Bytes, f64),
     /// A line for the client after which the server ends the connection.
     Last(Bytes),
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -14,6 +14,7 @@
 
 use crate::brain::Balancer;
 use crate::interface::*;
+use crate::notes::{Note, Notes, Told};
 
 /// A connection whose oldest message has waited this long for the server is moved: the protocol
 /// allows 7 s from the last line returned, and clients send one every 2 s.
@@ -159,6 +160,7 @@
     wheel: DelayQueue<Due>,
     tick: Span,
     slow_from: Span,
+    notes: Notes,
     anchor: (Time, Instant),
     /// The latest time told.
     told: Time,
@@ -177,6 +179,7 @@
         let aims = settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > Span::ZERO);
         let slow_from = aims.min().map_or(Span::ZERO, |aim| aim.scale(SLOW_PART));
         let tick = settings.tick.max(Span::from_micros(1_000));
+        let told = Told { load: settings.tells_load, delay: settings.tells_delay };
         let mut engine = Self {
             module: Balancer::new(settings, seed),
             records: BTreeMap::new(),
@@ -186,6 +189,7 @@
             wheel: DelayQueue::new(),
             tick,
             slow_from,
+            notes: Notes::new(told),
             anchor,
             told: anchor.0,
             next_sweep: anchor.0 + SWEEP,
@@ -270,6 +274,9 @@
             self.pulses.values_mut().for_each(|pulse| pulse.state = ServerState::Gone);
         }
         for entry in &entries {
+            if before.get(&entry.server) != Some(&entry.state) {
+                self.notes.forget(entry.server);
+            }
             self.pulses.entry(entry.server).or_default().state = entry.state;
         }
         self.run(now, Event::List { news, entries }, out);
@@ -372,9 +379,15 @@
         self.module.allowance(server)
     }
 
-    /// A connection's load has changed.
-    pub fn load(&mut self, now: Time, id: RequestId, load: f64, out: &mut Vec<Effect>) {
-        self.run(now, Event::LoadChanged { id, load }, out);
+    /// A server has told a figure on a connection: its load in microseconds of work a second, or the
+    /// milliseconds that messages take there.
+    pub fn note(&mut self, now: Time, id: RequestId, figure: f64, out: &mut Vec<Effect>) {
+        let Some(server) = self.server_of(id) else { return };
+        let event = match self.notes.hear(now, server, figure) {
+            Note::Load(load) => Event::LoadChanged { id, load },
+            Note::Takes(takes) => Event::SlowMessages { server, takes },
+        };
+        self.run(now, event, out);
     }
 
     /// Another gateway has sent a connection to a server that is new.
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -150,6 +150,8 @@
 struct FamilyInfo {
     message_aim: Vec<f64>,
     tenant_quota_connections: Vec<f64>,
+    tells_load: bool,
+    tells_delay: bool,
 }
 
 #[derive(Deserialize)]
@@ -318,6 +320,8 @@
             probes: self.limits.probes,
             peers: self.limits.peers,
             recalls: self.limits.cancelling,
+            tells_load: info.tells_load,
+            tells_delay: info.tells_delay,
             answer_slack: span(self.rules.answer_slack),
             ask_within: span(self.rules.ask_within),
             cold_from: self.rules.cold_from,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -225,6 +225,10 @@
     pub peers: bool,
     /// Whether [`Action::Recall`] is allowed.
     pub recalls: bool,
+    /// Whether servers tell a connection's load as it changes.
+    pub tells_load: bool,
+    /// Whether servers tell how long messages take, once a second while that is long.
+    pub tells_delay: bool,
     /// After the client's deadline, how long a final answer still counts.
     pub answer_slack: Span,
     /// An unsubscribed relay counts as told of all that was listed this long ago.
@@ -258,6 +262,8 @@
             probes: false,
             peers: false,
             recalls: false,
+            tells_load: true,
+            tells_delay: false,
             answer_slack: Span::ZERO,
             ask_within: Span::from_micros(10_000_000),
             cold_from: 1.0,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod gossip;
 pub mod handover;
 pub mod net;
+pub mod notes;
 pub mod open_ids;
 pub mod operator;
 pub mod quic;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -210,7 +210,7 @@
             }
             Report::Asked(id, prompt) => self.engine.asked(now, id, prompt),
             Report::Answered(id) => self.engine.answered(now, id),
-            Report::Load(id, load) => self.engine.load(now, id, load, out),
+            Report::Note(id, figure) => self.engine.note(now, id, figure, out),
             Report::News(news) => {
                 self.told = true;
                 let kind = if news.snapshot { ListNews::Whole } else { ListNews::Changes };
--- a/src/net/report.rs
+++ b/src/net/report.rs
@@ -78,8 +78,8 @@
     Asked(RequestId, bool),
     /// The server sent something.
     Answered(RequestId),
-    /// The connection's load now, in seconds of work a second.
-    Load(RequestId, f64),
+    /// A figure that the server told on the connection, as it came: a load or a delay.
+    Note(RequestId, f64),
     /// News of the list.
     News(News),
     /// The list as an older process of this balancer has it.
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -410,9 +410,9 @@
                 }
                 line = server.lines.next(), if to_client.is_empty() && !last => match line {
                     Some(Ok(line)) => match side.line(line) {
-                        ServerEvent::Load(line, load) => {
+                        ServerEvent::Load(line, figure) => {
                             to_client = line;
-                            self.front.core.tell(Report::Load(id, load / 1e6)).await;
+                            self.front.core.tell(Report::Note(id, figure)).await;
                         }
                         ServerEvent::Last(line) => (to_client, last) = (line, true),
                         ServerEvent::Pass(line) | ServerEvent::Up(line) => {
