Gateways tell each other which server is swamped, and leave it for some seconds

Change: of those that hear a swamped server's note, which comes to all at one moment, about one tells all others; these leave the server for 4 to 5 s; it is told anew after 2 s.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,9 +1,9 @@
 //! All decisions of ashtide. The types, events and actions are in `interface.rs`.
 //!
-//! Read it as a connection travels: list, readiness, draw and compare, attempt, outcome, final
-//! answer; then cold starts, health and timers. The ordinary path is two ready servers drawn at
-//! random, the one with fewer of this relay's own open connections wins, and placed connections
-//! stay put (Luczak and McDiarmid). Everything else here is an exception with its reason beside it.
+//! Read it as a connection travels: list, draw and compare, attempt, outcome, final answer; then cold starts,
+//! health and timers. The ordinary path is two ready servers drawn at random, the one with fewer of this
+//! relay's own open connections wins, and placed connections stay put (Luczak and McDiarmid). All else is an
+//! exception with its reason beside it.
 
 use std::collections::BTreeMap;
 
@@ -21,32 +21,28 @@
 const RECKON: f64 = 0.1;
 /// How many times the burden of the other draw a server may carry and still keep its group.
 const GROUP_KEEP: f64 = 2.0;
-/// Multiple of what may push over a new server that begins with the least capacity told and warms for the
-/// longest time told, which the relays together send one: most begin with more and are warm sooner.
+/// Multiple of what may push over a server of the least capacity and longest warm-up told, which the relays
+/// together send a new one: most begin with more and are warm sooner.
 const COLD_PART: f64 = 2.2;
 /// The same where they do not hear of each other: a safe one, as each may send its part at once.
 const COLD_PART_ALONE: f64 = 0.8;
-/// Part of what the tenants' shares come to that a server holds at least: a fleet in use by half.
+/// Part of the tenants' shares that servers hold at least: a fleet in use by half.
 const SHARES_HELD: f64 = 0.5;
-/// What a paced server is not sent now may be sent later, up to this part of the time in which too
-/// much pushes a cold one over.
+/// What a paced server is not sent now may be sent later, up to this part of `overload_for`.
 const BURST: f64 = 0.25;
-/// Multiple of the warm-up time during which a new server's filling is paced; past the warm-up, as all
-/// relays would otherwise turn to the emptiest server in the same second.
+/// Multiple of the warm-up time in which a new server is paced; else all relays would turn to it just after.
 const PACED_FOR: f64 = 2.0;
-/// A server of another zone counts as this much fuller, as a crossing has its price: a small one beside
-/// what a full server costs, so it decides between like servers only.
+/// A server of another zone counts as this much fuller: a crossing costs little beside a full server.
 const FAR: f64 = 1.25;
 /// Rungs of the ladder on which fit servers stand; see `rung`.
 const LADDER: u8 = 4;
 /// First-attempt time-out, as a part of the time left. Half leaves as much for a second server.
 const FIRST_TRY: f64 = 0.5;
-/// Set-ups that a relay may have out at once grow by one for each window of quick ones, and shrink to
-/// this part with each that fails or is late, as a congested store does for all.
+/// Set-ups out at once grow by one for each window of quick ones, and shrink to this part with each other.
 const WINDOW_SHRINKS: f64 = 0.9;
 /// Set-ups out at once to begin with: ample, until the first sign of congestion.
 const WINDOW_FIRST: f64 = 64.0;
-/// First wait before a further attempt after an error, as a part of the class's aim; doubles each time.
+/// First wait before another attempt after an error, as a part of the class's aim; doubles each time.
 const AGAIN_AFTER: f64 = 0.2;
 /// A set-up is quick within this part of the class's aim.
 const QUICK: f64 = 0.5;
@@ -54,8 +50,7 @@
 const CONGESTED: f64 = 0.5;
 /// Failures in a row, of any kind that may be the server's, that set a server aside.
 const FAILS_TO_SET_ASIDE: u32 = 2;
-/// First wait after setting a server aside, as a part of the warm-up time; doubles with each failure up
-/// to all of it.
+/// First wait after setting a server aside, as a part of the warm-up time; doubles up to all of it.
 const ASIDE_FIRST: f64 = 0.1;
 /// Part of the time left for which a request may be held when no server is fit.
 const HOLD: f64 = 0.5;
@@ -64,25 +59,22 @@
 /// First subscription after a start: spread over this part of `ask_within`, as all relays restart at once.
 const SUBSCRIBE_SPREAD: f64 = 0.1;
 
-/// A server is hot when a message there takes this part of the shortest message aim. The servers
-/// tell from a third on; below that nothing is known.
+/// A server is hot when a message there takes this part of the shortest message aim; told from a third on.
 const HOT_MESSAGES: f64 = 0.34;
-/// A server is swamped when a message there takes this multiple of the shortest message aim: one more
-/// connection would earn nothing and cost the others.
+/// A server is swamped when a message takes this multiple of it: one more connection would earn nothing.
 const SWAMPED: f64 = 0.67;
-/// How often a hot server's state is told anew on the wire.
+/// How often a hot server's state is told anew.
 const NOTE_EVERY: Span = Span::from_micros(1_000_000);
-/// Notes that must fail to come before a hot server is drawn again; up to one more, by chance, so
-/// that the relays do not all return at once.
+/// Notes that must fail to come before a hot server is drawn again; one more, by chance.
 const HOT_NOTES: f64 = 1.5;
+/// Notes for which a server is left that others tell is swamped, or one more; told anew after half of them.
+const TOLD_NOTES: f64 = 4.0;
 /// Part of a relay's connections to a swamped server that each note moves off it.
 const MOVE_PART: f64 = 0.1;
-/// Connections that a server must drop within [`DROPS_WITHIN`] to count as shedding: fewer may be the
-/// network's doing.
+/// Connections that a server must drop within [`DROPS_WITHIN`] to count as shedding.
 const SHEDDING: f64 = 3.0;
 const DROPS_WITHIN: Span = Span::from_micros(2_000_000);
-/// First time for which a server that sheds is hot, as a part of the warm-up time; doubles with each
-/// time that it sheds again...
+/// First time for which a server that sheds is hot, as a part of the warm-up time; doubles with each...
 const SHED_FIRST: f64 = 0.1;
 /// ...up to this part, and begins anew when it has not for the warm-up time.
 const SHED_LONGEST: f64 = 0.5;
@@ -90,8 +82,7 @@
 const BEARS: f64 = 0.75;
 /// ...and as much again after this time.
 const BEARS_AGAIN: Span = Span::from_micros(40_000_000);
-/// After it was last swamped, a server is paced for the warm-up time at this part of the pace at which
-/// connections were moved off it.
+/// After it was swamped, a server is paced for the warm-up time at this part of the pace of its moves.
 const RETURN_PART: f64 = 0.5;
 
 /// Timers, beside the deadlines of requests.
@@ -115,7 +106,7 @@
     reckoned: Time,
     /// How many connections all relays have sent it while it was new, by what they tell.
     sent: u32,
-    /// Failures in a row, and until when it is set aside for them.
+    /// Failures in a row, and until when it is set aside for that.
     fails: u32,
     aside_until: Option<Time>,
     /// Until when it counts as hot: its messages take long.
@@ -123,6 +114,8 @@
     /// Whether they take longer than clients want to wait, and when they last did.
     swamped: bool,
     swamped_at: Option<Time>,
+    /// When this or another relay last told all that it is swamped.
+    told_at: Option<Time>,
     /// Connections that it has dropped lately, as of when; how often it has shed in a row, and until when
     /// it is hot for that.
     drops: f64,
@@ -248,7 +241,8 @@
             Event::LoadChanged { id, load } => self.on_load(id, load),
             Event::CalledBack { server } => self.on_called_back(now, server),
             Event::Beside { server, open, allowance } => self.on_beside(server, open, allowance),
-            Event::Told { server } => self.on_told(now, server),
+            Event::Told { server, word: Word::Sent } => self.on_told(now, server),
+            Event::Told { server, word: Word::Swamped } => self.on_told_swamped(now, server),
             Event::Probed { .. } => {}
         }
         actions.append(&mut self.actions);
@@ -375,11 +369,9 @@
         }
     }
 
-    /// Places the request, or holds it while no server is fit or its turn has not come. A store that
-    /// all set-ups share fails more of them the more it is asked; so each relay keeps a window of
-    /// set-ups out at once, which widens while they are quick and narrows as they fail.
-    ///
-    /// Says whether others may still be placed now.
+    /// Places the request, or holds it while no server is fit or its turn has not come; says whether others
+    /// may still be placed now. A store that all set-ups share fails more of them the more it is asked: each
+    /// relay keeps a window of set-ups out, which widens while they are quick and narrows as they fail.
     fn place(&mut self, now: Time, id: RequestId) -> bool {
         let free = f64::from(self.setting_up) < self.window;
         let due = now >= self.requests[&id].not_before;
@@ -399,11 +391,10 @@
         choice.is_some() || (free && (!due || bound))
     }
 
-    /// The ordinary path: of two fit servers drawn at random with replacement, the one with
-    /// fewest of this relay's own open connections; the first drawn wins a tie. A new server goes first
-    /// while it has an allowance left: where a relay holds a handful of connections, most own counts are
-    /// zero, and nothing else tells it from the old ones, which are overrun meanwhile. No draw keeps to
-    /// the own zone: where that has one server, it would get two thirds of all that comes.
+    /// The ordinary path: of two fit servers drawn at random with replacement, the one with fewest of this
+    /// relay's own open connections; the first drawn wins a tie. A new server goes first while it has an
+    /// allowance left: most own counts are zero, and nothing else tells it from the old ones, which are
+    /// overrun. No draw keeps to the own zone: its one server would get two thirds of all that comes.
     fn choose(&mut self, now: Time, request: &Pending) -> Option<ServerId> {
         self.reckon_usual(now);
         let owes = |id: &&ServerId| self.server(**id).owed && self.may_get(now, request, **id);
@@ -430,10 +421,9 @@
         Some(if keep * self.burden(second) < self.burden(first) { second } else { first })
     }
 
-    /// Draws among the ready servers, or the new ones of them, until one is on the lowest rung. A few
-    /// draws find one unless few are; only then is the whole list worth the time to walk. Where a
-    /// full server holds a connection or two of each relay, what a group draws follows from its name: no
-    /// relay knows its home, and drawn anew by each it would spread over all servers, which all pay.
+    /// Draws among the ready servers, or the new ones of them, until one is on the lowest rung; the list is
+    /// walked only if a few draws find none. Where a full server holds a connection or two of each relay,
+    /// what a group draws follows from its name: drawn anew by each relay, it would spread over all servers.
     fn draw(&mut self, now: Time, request: &Pending, new: bool, from: u32) -> Option<ServerId> {
         for round in from..from + QUICK_DRAWS {
             let pool = if new { &self.new } else { &self.ready };
@@ -453,9 +443,8 @@
         None
     }
 
-    /// Connections of a group share work on the server that holds them, and each further server pays
-    /// for the group anew: a fit server on which this relay holds some of the group, the one with
-    /// most of them, takes the place of the first draw.
+    /// Each server that holds some of a group pays for the group: a fit one that holds most of this relay's
+    /// connections of it takes the place of the first draw.
     fn home(&mut self, now: Time, request: &Pending) -> Option<ServerId> {
         let group = request.group?;
         let homes = self.groups.range((group, ServerId(0))..=(group, ServerId(u32::MAX)));
@@ -466,19 +455,17 @@
         self.allows(now, home).then_some(home)
     }
 
-    /// What the draw compares: own open connections, and one more, against the listed size.
-    /// Machines differ; the same count is a pile on a slow one. A live size also carries, seconds
-    /// late, what all relays hold there, which decides where most own counts are alike.
+    /// What the draw compares: own open connections, and one more, against the listed size. A live size also
+    /// carries, seconds late, what all relays hold there, which decides where most own counts are alike.
     fn burden(&self, id: ServerId) -> f64 {
         let server = self.server(id);
         let priced = self.settings.prices.cross_zone > 0.0 && server.listing.zone != self.settings.zone;
         f64::from(server.held() + 1) / server.listing.size * if priced { FAR } else { 1.0 }
     }
 
-    /// The servers fit for this request, on the first rung of the ladder that has any: when all are
-    /// hot, none stands out and all serve again. Servers that this request has tried, and then those
-    /// set aside, come last. A swamped server is on no rung: when there are no others, the request is
-    /// held, and refused in the end, so that those placed are served.
+    /// The servers fit for this request, on the first rung that has any: when all are hot, all serve again.
+    /// Those that it has tried, and then those set aside, come last. A swamped server is on no rung: where
+    /// there are no others, the request is held, and refused in the end, so that those placed are served.
     fn fit(&mut self, now: Time, request: &Pending) -> Vec<ServerId> {
         let (mut lowest, mut fit) = (LADDER, Vec::new());
         for at in 0..self.ready.len() {
@@ -535,7 +522,7 @@
         (at.allowance, at.owed) = ((at.allowance - 1.0).max(0.0), false);
         at.sent += 1;
         if self.settings.peers && self.is_new(now, server) {
-            self.actions.push(Action::Tell { server });
+            self.actions.push(Action::Tell { server, word: Word::Sent });
         }
         self.count(server, self.requests[&id].group, 1);
         self.setting_up += 1;
@@ -765,10 +752,9 @@
         cold.map_or(back, |cold| Some(back.map_or(cold, |back| back.min(cold))))
     }
 
-    /// What a server usually holds of this relay's connections: the mean over those that are not new, or
-    /// over all where that is more, and no less than the tenants' shares let expect, as a relay that has
-    /// just started has seen nothing. It is forgotten only over a warm-up time, as in a deploy or after
-    /// a crash the connections are on their way when it is asked for.
+    /// What a server usually holds of this relay's connections: the mean over those that are not new, or over
+    /// all where that is more, and no less than the tenants' shares let expect. It is forgotten only over a
+    /// warm-up time, as in a deploy or after a crash the connections are on their way.
     fn reckon_usual(&mut self, now: Time) {
         if now.since(self.recounted) > self.settings.warm_within.scale(RECOUNT) {
             self.recount(now);
@@ -826,9 +812,8 @@
         }
     }
 
-    /// A server that drops standing connections has more than it can hold, however few of them are this
-    /// relay's own; and those it dropped make its count the lowest, so that it would be chosen first and
-    /// drop them again. It is hot for a while, each time for longer, and comes back at a pace.
+    /// A server that drops standing connections has more than it can hold; those it dropped make its count
+    /// the lowest, so that it would be chosen first. It is hot for a while, each time for longer.
     fn on_drop(&mut self, now: Time, id: ServerId) {
         let warm_within = self.settings.warm_within;
         let jitter = 0.75 + 0.5 * self.rng.random::<f64>();
@@ -866,8 +851,7 @@
         self.requests.iter().filter(move |(_, p)| here(p)).map(|(&id, p)| (id, p))
     }
 
-    /// A server whose messages take long has more work than it can do, whatever this relay's own
-    /// count says: it is left out of the draw until word comes that it is back, or none comes.
+    /// A server whose messages take long is overrun: left until word comes that it is back, or none comes.
     fn on_slow_messages(&mut self, now: Time, id: ServerId, takes: Span) {
         let aims = self.settings.classes.iter().map(|c| c.message_aim).min().unwrap_or_default();
         let hot = takes >= aims.scale(HOT_MESSAGES);
@@ -880,13 +864,31 @@
             let server = self.server_mut(id);
             (server.swamped_at, server.allowance, server.reckoned) = (Some(now), phase, now);
             self.let_go(id, MOVE_PART * f64::from(self.server(id).open));
+            self.tell_swamped(now, id);
         }
     }
 
-    /// Lets so many of a server's connections go, those of least worth for their load first, and the
-    /// heaviest of these. A part of one is left to chance, so that not all relays let go at once. On a
-    /// swamped server all are lost to their clients for as long as it lasts: each word of it lets a small
-    /// part go, also when there is nowhere to go, so that the rest are served.
+    /// Most relays have no connection on a swamped server; of those that have, about one tells the others.
+    fn tell_swamped(&mut self, now: Time, id: ServerId) {
+        self.reckon_usual(now);
+        let fresh = NOTE_EVERY.scale(TOLD_NOTES / 2.0);
+        let told = self.server(id).told_at.is_some_and(|at| now.since(at) < fresh);
+        let tellers = f64::from(self.settings.relays) * self.usual.min(1.0);
+        if self.settings.peers && !told && self.rng.random::<f64>() * tellers < 1.0 {
+            self.server_mut(id).told_at = Some(now);
+            self.actions.push(Action::Tell { server: id, word: Word::Swamped });
+        }
+    }
+
+    fn on_told_swamped(&mut self, now: Time, id: ServerId) {
+        let until = now + NOTE_EVERY.scale(TOLD_NOTES + self.rng.random::<f64>());
+        let server = self.server_mut(id);
+        (server.hot_until, server.swamped, server.told_at) = (Some(until), true, Some(now));
+    }
+
+    /// Lets so many of a server's connections go, those of least worth for their load first, and the heaviest
+    /// of these; a part of one by chance. On a swamped server all are lost to their clients: each word of it
+    /// lets a small part go, also when there is nowhere to go, so that the rest are served.
     fn let_go(&mut self, id: ServerId, how_many: f64) {
         let loads = || self.requests.values().filter_map(|p| p.load);
         let mean = loads().sum::<f64>() / loads().count() as f64;
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -89,10 +89,12 @@
     },
     /// Follow the server list from now on.
     Subscribe,
-    /// Tell the other gateways that a server, which is new, has got a connection.
+    /// Tell the other gateways of a server.
     Tell {
         /// The server.
         server: ServerId,
+        /// What.
+        word: Word,
     },
 }
 
@@ -390,9 +392,9 @@
         self.run(now, event, out);
     }
 
-    /// Another gateway has sent a connection to a server that is new.
-    pub fn told(&mut self, now: Time, server: ServerId, out: &mut Vec<Effect>) {
-        self.run(now, Event::Told { server }, out);
+    /// Another gateway has told of a server.
+    pub fn told(&mut self, now: Time, server: ServerId, word: Word, out: &mut Vec<Effect>) {
+        self.run(now, Event::Told { server, word }, out);
     }
 
     /// A probe has come back.
@@ -560,7 +562,7 @@
             Action::SetTimer { token, at } => _ = self.schedule(at, Due::Module(token)),
             Action::Probe { server } => out.push(Effect::Probe { server }),
             Action::Subscribe => out.push(Effect::Subscribe),
-            Action::Tell { server } => out.push(Effect::Tell { server }),
+            Action::Tell { server, word } => out.push(Effect::Tell { server, word }),
         }
     }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -6,19 +6,20 @@
 //!
 //! | byte | holds |
 //! | --- | --- |
-//! | 0 | which word: 16, the only one so far, says that the sender has placed a connection on a new server |
+//! | 0 | which word: 16, the sender has placed a connection on this server, which is new; 17, it is swamped |
 //! | 1, 2 | Unix time in steps of 4 ms, modulo 2^16; each datagram of a sender has another |
 //! | 3 to 6 | the server's key, as in connection ids: the head of the SHA-256 of its name |
 
 use std::collections::VecDeque;
 
-use crate::interface::PeerId;
+use crate::interface::{PeerId, Word};
 use crate::quic::placing::ServerKey;
 
 /// Bytes of a datagram.
 pub const LENGTH: usize = 7;
-/// The word for a connection placed on a new server.
+/// The word for a connection placed on a new server, and that for a swamped server.
 const SENT: u8 = 16;
+const SWAMPED: u8 = 17;
 /// Milliseconds in a step of the stamp.
 const STEP_MS: u64 = 4;
 /// A word older than this, or from so far ahead, is stale: 5 s of a clock that all share.
@@ -65,8 +66,8 @@
         Self { own, last: None, heard: vec![VecDeque::new(); peers] }
     }
 
-    /// The datagram that says that a connection was placed on this server, which is new.
-    pub fn say(&mut self, unix_ms: u64, server: ServerKey) -> [u8; LENGTH] {
+    /// The datagram that says this of a server.
+    pub fn say(&mut self, unix_ms: u64, server: ServerKey, word: Word) -> [u8; LENGTH] {
         let now = steps(unix_ms);
         // Two words in one step would look like one repeated.
         let stamp = match self.last {
@@ -77,7 +78,10 @@
         };
         self.last = Some(stamp);
         let mut bytes = [0; LENGTH];
-        bytes[0] = SENT;
+        bytes[0] = match word {
+            Word::Sent => SENT,
+            Word::Swamped => SWAMPED,
+        };
         bytes[1..3].copy_from_slice(&stamp.to_be_bytes());
         bytes[3..].copy_from_slice(&server);
         bytes
@@ -88,13 +92,20 @@
     /// # Errors
     ///
     /// Says why it is not heard; nothing is remembered of it.
-    pub fn hear(&mut self, unix_ms: u64, from: Option<PeerId>, bytes: &[u8]) -> Result<ServerKey, Unheard> {
+    pub fn hear(
+        &mut self,
+        unix_ms: u64,
+        from: Option<PeerId>,
+        bytes: &[u8],
+    ) -> Result<(ServerKey, Word), Unheard> {
         let from = from.filter(|&from| from != self.own).ok_or(Unheard::Foreign)?;
         let heard = self.heard.get_mut(from.0 as usize).ok_or(Unheard::Foreign)?;
         let bytes: &[u8; LENGTH] = bytes.try_into().map_err(|_| Unheard::Length(bytes.len()))?;
-        if bytes[0] != SENT {
-            return Err(Unheard::Word(bytes[0]));
-        }
+        let word = match bytes[0] {
+            SENT => Word::Sent,
+            SWAMPED => Word::Swamped,
+            other => return Err(Unheard::Word(other)),
+        };
         let stamp = u16::from_be_bytes([bytes[1], bytes[2]]);
         let age = steps(unix_ms).wrapping_sub(stamp);
         if age.min(age.wrapping_neg()) > YOUNG {
@@ -107,6 +118,6 @@
         if heard.len() > REMEMBERED {
             heard.pop_front();
         }
-        Ok([bytes[3], bytes[4], bytes[5], bytes[6]])
+        Ok(([bytes[3], bytes[4], bytes[5], bytes[6]], word))
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -381,6 +381,15 @@
     Broken,
 }
 
+/// What relays tell each other of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Word {
+    /// The teller has sent one connection to it, and it is new.
+    Sent,
+    /// A message there takes so long that one more connection would earn nothing.
+    Swamped,
+}
+
 /// What the relay tells the module.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -469,10 +478,12 @@
     },
     /// A timer set earlier has come due.
     Timer(TimerToken),
-    /// Another relay has sent one connection to a server that is new.
+    /// Another relay has told of a server.
     Told {
-        /// Where.
+        /// Which.
         server: ServerId,
+        /// What.
+        word: Word,
     },
 }
 
@@ -483,7 +494,7 @@
             Event::SlowMessages { server, .. }
             | Event::Silent { server }
             | Event::CalledBack { server }
-            | Event::Told { server }
+            | Event::Told { server, .. }
             | Event::Beside { server, .. } => Some(*server),
             _ => None,
         }
@@ -533,10 +544,12 @@
         /// When.
         at: Time,
     },
-    /// Tell all other relays that this one has sent a connection to a server that is new.
+    /// Tell all other relays of a server.
     Tell {
-        /// Where.
+        /// Which.
         server: ServerId,
+        /// What.
+        word: Word,
     },
     /// Ask a server for its load report. The module asks for none so far: notes of slow messages tell
     /// of overload at no price.
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -45,7 +45,7 @@
     handle: Handle,
     subscribe: mpsc::Sender<()>,
     /// Where words for other gateways go, and which server a key in theirs means.
-    words: mpsc::Sender<ServerKey>,
+    words: mpsc::Sender<(ServerKey, Word)>,
     keys: HashMap<ServerKey, ServerId>,
     /// The list as it stands, its version, and whether discovery has told any of it to this process.
     listed: BTreeMap<String, Entry>,
@@ -72,7 +72,7 @@
     pub fn new(
         config: &Config,
         subscribe: mpsc::Sender<()>,
-        words: mpsc::Sender<ServerKey>,
+        words: mpsc::Sender<(ServerKey, Word)>,
         post: Post,
     ) -> Result<(Self, Handle, Office), String> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -232,10 +232,10 @@
                     }
                 }
             }
-            Report::Told(server) => {
+            Report::Told(server, word) => {
                 // Of a server that is not on the list here nothing is done, whoever names it.
                 if let Some(&server) = self.keys.get(&server) {
-                    self.engine.told(now, server, out);
+                    self.engine.told(now, server, word, out);
                 }
             }
             Report::WatchEnded => self.engine.list(now, ListNews::Broken, Vec::new(), out),
@@ -375,9 +375,9 @@
                 // A full queue means that the driver has been asked already.
                 Effect::Subscribe => _ = self.subscribe.try_send(()),
                 // With a full queue the word is lost, as on any network.
-                Effect::Tell { server } => {
+                Effect::Tell { server, word } => {
                     let server = server_key(&self.names.servers.names()[server.0 as usize]);
-                    _ = self.words.try_send(server);
+                    _ = self.words.try_send((server, word));
                 }
             }
         }
--- a/src/net/gossip.rs
+++ b/src/net/gossip.rs
@@ -12,7 +12,7 @@
 use super::report::{Handle, Report};
 use crate::config::Peers;
 use crate::gossip::{Gossip, LENGTH};
-use crate::interface::PeerId;
+use crate::interface::{PeerId, Word};
 use crate::quic::placing::ServerKey;
 
 /// Words that may wait for the socket; further ones are dropped, as the network may drop any.
@@ -41,7 +41,7 @@
 }
 
 /// Tells and hears until the core ends. What is to be told before there is a socket is lost.
-pub async fn run(peers: Peers, mut words: mpsc::Receiver<ServerKey>, core: Handle) {
+pub async fn run(peers: Peers, mut words: mpsc::Receiver<(ServerKey, Word)>, core: Handle) {
     let socket = bound(peers.listen).await;
     // What was to be told meanwhile is old by now.
     while words.try_recv().is_ok() {}
@@ -55,8 +55,8 @@
     loop {
         tokio::select! {
             word = words.recv() => {
-                let Some(word) = word else { return };
-                let bytes = gossip.say(unix_micros() / 1000, word);
+                let Some((server, word)) = word else { return };
+                let bytes = gossip.say(unix_micros() / 1000, server, word);
                 for &peer in &to {
                     // Late or never: nobody waits for it.
                     let _ = socket.send_to(&bytes, peer).await;
@@ -67,7 +67,7 @@
                 let Ok((length, from)) = heard else { continue };
                 let peer = peers.each.iter().position(|&peer| peer == from).map(|at| PeerId(at as u32));
                 match (peer, gossip.hear(unix_micros() / 1000, peer, &packet[..length])) {
-                    (_, Ok(server)) => core.tell(Report::Told(server)).await,
+                    (_, Ok((server, word))) => core.tell(Report::Told(server, word)).await,
                     (peer, Err(_)) if peer == Some(PeerId(peers.own)) => {}
                     (_, Err(why)) => UNHEARD.say(format_args!("datagram of {from}: {why}")),
                 }
--- a/src/net/report.rs
+++ b/src/net/report.rs
@@ -14,7 +14,7 @@
 use crate::engine::Answer;
 use crate::figures::{Count, Figures};
 use crate::handover::{Cordons, Share};
-use crate::interface::{Outcome, RequestId, ServerId, Span};
+use crate::interface::{Outcome, RequestId, ServerId, Span, Word};
 use crate::quic::placing::ServerKey;
 
 /// Commands that may wait for one session: more than all attempts of a request need.
@@ -88,8 +88,8 @@
     Beside(BTreeMap<String, Share>, Cordons),
     /// The watch has ended.
     WatchEnded,
-    /// Another gateway has placed a connection on this server, which is new.
-    Told(ServerKey),
+    /// Another gateway has told of this server.
+    Told(ServerKey, Word),
     /// A probe is back.
     Probed(ServerId, bool),
     /// Leave within this time.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -38,7 +38,7 @@
     Timer(usize, TimerToken),
     Client,
     /// A relay's word comes to another.
-    Word(usize, ServerId),
+    Word(usize, ServerId, Word),
 }
 
 /// Relays, their clients and where these stand. Set-ups succeed at once.
@@ -48,6 +48,8 @@
     due: BTreeMap<(i64, u32), Due>,
     placed: HashMap<(usize, RequestId), ServerId>,
     sent: Vec<(i64, ServerId)>,
+    /// How often a relay has told the others.
+    words: usize,
     /// Part of the words that the network loses.
     lost: f64,
     next: u32,
@@ -64,6 +66,7 @@
             due: BTreeMap::new(),
             placed: HashMap::new(),
             sent: Vec::new(),
+            words: 0,
             lost: 0.0,
             next: 0,
             rng: ChaCha8Rng::seed_from_u64(1),
@@ -108,11 +111,12 @@
                     let wait = at.since(now).as_micros();
                     self.later(wait, Due::Timer(relay, token));
                 }
-                Action::Tell { server } => {
+                Action::Tell { server, word } => {
+                    self.words += 1;
                     for other in (0..RELAYS).filter(|&other| other != relay) {
                         if self.rng.random::<f64>() >= self.lost {
                             let wait = self.rng.random_range(1..36) * MILLISECOND;
-                            self.later(wait, Due::Word(other, server));
+                            self.later(wait, Due::Word(other, server, word));
                         }
                     }
                 }
@@ -152,8 +156,8 @@
             self.now = at;
             match due {
                 Due::Timer(relay, token) => self.tell(relay, Event::Timer(token)),
-                Due::Word(relay, server) => {
-                    self.tell(relay, Event::Told { server });
+                Due::Word(relay, server, word) => {
+                    self.tell(relay, Event::Told { server, word });
                 }
                 Due::Client => {
                     let (relay, request) = (self.rng.random_range(0..RELAYS), self.request());
@@ -255,3 +259,31 @@
     let most = (0..10).map(|server| fleet.held(server)).max();
     assert!(most < Some(160), "{most:?} of 400 on one of ten servers");
 }
+
+/// Of 300 connections that come while server 0 is swamped for 10 s, those that are sent there.
+fn sent_to_swamped(peers: bool) -> (usize, usize) {
+    let mut fleet = Fleet::new(10, peers);
+    fleet.stand(0..10, 27);
+    let holders: Vec<usize> = (0..27).map(|at| at * 37 % RELAYS).collect();
+    for _ in 0..10 {
+        // All who hold some of its connections hear of it at one moment.
+        for &relay in &holders {
+            let takes = Span::from_micros(400 * MILLISECOND);
+            fleet.tell(relay, Event::SlowMessages { server: ServerId(0), takes });
+        }
+        fleet.run(100);
+        for client in 0..30 {
+            fleet.later(client * 30 * MILLISECOND, Due::Client);
+        }
+        fleet.run(900);
+    }
+    (fleet.sent.iter().filter(|&&(_, at)| at == ServerId(0)).count(), fleet.words)
+}
+
+#[test]
+fn a_swamped_server_is_left_also_by_relays_that_hold_nothing_there() {
+    let (told, words) = sent_to_swamped(true);
+    let (alone, _) = sent_to_swamped(false);
+    assert!(3 * told < alone, "{told} sent there where it is told of, {alone} where it is not");
+    assert!((1..=20).contains(&words), "{words} words for ten seconds of one swamped server");
+}
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -1,13 +1,14 @@
 //! Words between gateways: each is taken once, young, and from one of the tier; the rest says why not.
 
-use ashtide::PeerId;
 use ashtide::gossip::{Gossip, LENGTH, Unheard};
 use ashtide::quic::placing::{ServerKey, server_key};
+use ashtide::{PeerId, Word};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 const NOW: u64 = 1_796_000_000_000;
 const PEERS: usize = 5;
+const WORDS: [Word; 2] = [Word::Sent, Word::Swamped];
 
 fn pair() -> (Gossip, Gossip) {
     (Gossip::new(PeerId(0), PEERS), Gossip::new(PeerId(1), PEERS))
@@ -21,10 +22,11 @@
 fn a_word_comes_as_it_was_said_and_once() {
     let (mut mouth, mut ear) = pair();
     // Many in one instant stay apart, also past the number of steps in it.
-    let said: Vec<_> = (0..20_u8).map(|byte| mouth.say(NOW, [byte; 4])).collect();
+    let said: Vec<_> =
+        (0..20_u8).map(|byte| mouth.say(NOW, [byte; 4], WORDS[usize::from(byte % 2)])).collect();
     for (byte, bytes) in said.iter().enumerate() {
         let heard = ear.hear(NOW + 30, Some(PeerId(0)), bytes);
-        assert_eq!(heard, Ok([byte as u8; 4]));
+        assert_eq!(heard, Ok(([byte as u8; 4], WORDS[byte % 2])));
     }
     for bytes in &said {
         assert_eq!(ear.hear(NOW + 60, Some(PeerId(0)), bytes), Err(Unheard::Repeated));
@@ -36,7 +38,7 @@
 #[test]
 fn what_is_stale_foreign_or_malformed_says_so_and_is_not_remembered() {
     let (mut mouth, mut ear) = pair();
-    let bytes = mouth.say(NOW, saying());
+    let bytes = mouth.say(NOW, saying(), Word::Sent);
     assert_eq!(ear.hear(NOW + 6_000, Some(PeerId(0)), &bytes), Err(Unheard::Stale(6_000)));
     assert_eq!(ear.hear(NOW - 6_000, Some(PeerId(0)), &bytes), Err(Unheard::Stale(6_000)));
     for from in [None, Some(PeerId(1)), Some(PeerId(PEERS as u32)), Some(PeerId(u32::MAX))] {
@@ -46,17 +48,21 @@
     let mut other = bytes;
     other[0] = 99;
     assert_eq!(ear.hear(NOW, Some(PeerId(0)), &other), Err(Unheard::Word(99)));
-    assert_eq!(ear.hear(NOW, Some(PeerId(0)), &bytes), Ok(saying()), "none of these used the word up");
+    assert_eq!(
+        ear.hear(NOW, Some(PeerId(0)), &bytes),
+        Ok((saying(), Word::Sent)),
+        "none of these used the word up"
+    );
 }
 
 #[test]
 fn a_sender_that_starts_anew_or_whose_clock_stands_is_heard() {
     let (mut mouth, mut ear) = pair();
-    assert!(ear.hear(NOW, Some(PeerId(0)), &mouth.say(NOW, saying())).is_ok());
+    assert!(ear.hear(NOW, Some(PeerId(0)), &mouth.say(NOW, saying(), Word::Sent)).is_ok());
     let mut anew = Gossip::new(PeerId(0), PEERS);
-    assert!(ear.hear(NOW + 2_000, Some(PeerId(0)), &anew.say(NOW + 2_000, saying())).is_ok());
+    assert!(ear.hear(NOW + 2_000, Some(PeerId(0)), &anew.say(NOW + 2_000, saying(), Word::Swamped)).is_ok());
     // A clock that steps back a little does not make two words one.
-    assert!(ear.hear(NOW + 2_000, Some(PeerId(0)), &anew.say(NOW + 1_996, saying())).is_ok());
+    assert!(ear.hear(NOW + 2_000, Some(PeerId(0)), &anew.say(NOW + 1_996, saying(), Word::Swamped)).is_ok());
 }
 
 #[test]
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -164,7 +164,7 @@
             Action::SetTimer { token, at } => self.timers.push((at.as_micros(), token)),
             Action::Move { id } => assert!(self.owed[&id].established),
             Action::Probe { server } => assert!(server.0 < SERVERS),
-            Action::Tell { server } => assert!(server.0 < SERVERS, "of a server that was listed"),
+            Action::Tell { server, .. } => assert!(server.0 < SERVERS, "of a server that was listed"),
             Action::Subscribe => {}
         }
     }
@@ -276,7 +276,10 @@
                 self.send(Event::Existing { request, server });
             }
             18 => self.send(Event::List { news: ListNews::Broken, entries: Vec::new() }),
-            _ => self.send(Event::Told { server: ServerId(pick % 8) }),
+            _ => {
+                let word = if pick % 2 == 0 { Word::Sent } else { Word::Swamped };
+                self.send(Event::Told { server: ServerId(pick % 8), word });
+            }
         }
         for (id, owed) in &self.owed {
             let held_to = owed.deadline + SLACK + STEP;
