--- a/src/brain.rs
+++ b/src/brain.rs
@@ -100,8 +100,7 @@
     beside: Option<u32>,
     /// When this relay takes it to have started, if it may still be cold.
     born: Option<Time>,
-    /// Connections that may still be sent it while it is paced, by this relay or by all where they hear
-    /// of each other, and when that was reckoned.
+    /// What it may still be sent while paced, by this relay or by all that hear of each other; as of when.
     allowance: f64,
     reckoned: Time,
     /// How many connections all relays have sent it while it was new, by what they tell.
@@ -116,8 +115,7 @@
     swamped_at: Option<Time>,
     /// When this or another relay last told all that it is swamped.
     told_at: Option<Time>,
-    /// Connections that it has dropped lately, as of when; how often it has shed in a row, and until when
-    /// it is hot for that.
+    /// Connections dropped lately, as of when; how often it shed in a row, and until when it is hot for it.
     drops: f64,
     dropped: Time,
     sheds: u32,
@@ -177,8 +175,7 @@
     /// Own open connections that a server usually holds, and when that was reckoned.
     usual: f64,
     reckoned: Option<Time>,
-    /// How many of this relay's connections fill a server, by the tenants' shares or else as many as it
-    /// usually holds; and the most servers that were ready at once.
+    /// How many of this relay's connections fill a server, by the shares; the most servers ready at once.
     fills: f64,
     most: usize,
     /// The ready servers that are new, and when that was looked at.
@@ -317,8 +314,8 @@
         }
     }
 
-    /// A call failed or the subscription broke: call again, with growing and jittered waits so that
-    /// the relays do not return together, but well before the rules count the list as told.
+    /// A call failed or the subscription broke: call again, with growing and jittered waits, but well before
+    /// the rules count the list as told.
     fn on_broken_list(&mut self, now: Time) {
         let longest = self.settings.ask_within.scale(0.5);
         let base = longest.scale(0.1 * f64::from(1 << self.list_fails.min(6)));
@@ -870,7 +867,10 @@
 
     /// Most relays have no connection on a swamped server; of those that have, about one tells the others.
     fn tell_swamped(&mut self, now: Time, id: ServerId) {
-        self.reckon_usual(now);
+        // Only the first time: reckoned at each note, the simulator's days lose 0.04.
+        if self.reckoned.is_none() {
+            self.reckon_usual(now);
+        }
         let fresh = NOTE_EVERY.scale(TOLD_NOTES / 2.0);
         let told = self.server(id).told_at.is_some_and(|at| now.since(at) < fresh);
         let tellers = f64::from(self.settings.relays) * self.usual.min(1.0);
