--- a/src/notes.rs
+++ b/src/notes.rs
@@ -3,7 +3,7 @@
 //! Where the settings say that both are told there is one word for both, and no unit beside the figure: work in
 //! microseconds a second, or milliseconds. What tells them apart is when they come. The delay comes once a
 //! second, at the server's own beat, while it is long, and once more when it is short again; a load comes when
-//! it changes, at any moment. Figures under [`SURELY`] are delays, as hardly a connection asks for so little
+//! it changes, at any moment. Figures under 200 are delays, as hardly a connection asks for so little
 //! work; larger ones are when they keep the beat. No socket and no clock.
 
 use std::collections::BTreeMap;
