--- a/src/notes.rs
+++ b/src/notes.rs
@@ -74,7 +74,7 @@
         let kept = row.beat.is_some_and(|beat| now.since(beat) < KEPT && on_beat(now.since(beat)));
         let second = row.maybe.replace(now).is_some_and(|maybe| {
             let after = now.since(maybe);
-            after > OFF_BEAT && after < BEAT + OFF_BEAT && on_beat(after)
+            after + OFF_BEAT >= BEAT && after < BEAT + OFF_BEAT
         });
         if figure < SURELY || kept || second {
             row.beat = Some(now);
@@ -111,7 +111,7 @@
 
     #[test]
     fn delays_are_told_from_loads_by_their_beat() {
-        // As one server of a rough day said it to one gateway.
+        // After what a server of roll+mass told a gateway, with loads set between.
         let words = [
             (140, 165_467.0),
             (2_033, 105_239.6),
