--- a/crates/ashtide-rehearsal/src/daemon.rs
+++ b/crates/ashtide-rehearsal/src/daemon.rs
@@ -31,6 +31,8 @@
     pub sockets: usize,
     /// Its limit on memory in megabytes; 192 where 0.
     pub memory_mb: usize,
+    /// Whether its settings say that the list is pushed, by an agent on its machine.
+    pub pushed: bool,
     /// What it shares with another process of the same balancer: a listener that it inherits, and a
     /// folder. It has a door for operators then.
     pub shared: Option<Shared>,
@@ -88,6 +90,9 @@
                           "fallMultiple": 2.5, "overloadFor": 1.0},
             },
         });
+        if options.pushed {
+            config["settings"]["discovery"] = json!("pushed");
+        }
         if options.shared.is_some() {
             config["operator"] = json!("127.0.0.1:0");
         }
--- a/crates/ashtide-rehearsal/src/scenarios.rs
+++ b/crates/ashtide-rehearsal/src/scenarios.rs
@@ -17,7 +17,7 @@
 use ashtide::quic::placing::{issue, server_key};
 
 /// The names of all scenarios.
-pub const NAMES: [&str; 11] = [
+pub const NAMES: [&str; 12] = [
     "migration",
     "unknown-id",
     "refusal",
@@ -25,6 +25,7 @@
     "loss",
     "stop",
     "reload",
+    "pushed",
     "rude",
     "upgrade",
     "vrrp-failover",
@@ -55,6 +56,7 @@
         "loss" => loss(program).await,
         "stop" => stop(program).await,
         "reload" => reload(program).await,
+        "pushed" => pushed(program).await,
         "rude" => rude(program).await,
         "upgrade" => upgrade(program).await,
         "vrrp-failover" => vrrp_failover(program).await,
@@ -388,6 +390,35 @@
     Ok(checks)
 }
 
+/// A list that is pushed is followed like one that is asked for.
+async fn pushed(program: &Path) -> Result<Checks, RehearsalError> {
+    let mut checks = Checks::default();
+    let fleet = Fleet::start(2).await?;
+    let options = Options { pushed: true, ..Options::default() };
+    let daemon = Daemon::start(program, &fleet, &options).await?;
+    let stage = Stage { fleet, daemon, pool: Pool::open(1, ([127, 0, 0, 1], 9).into()).await? };
+    let (mut lines, up) = stage.line_clients(FEW).await?;
+    checks.equal("line clients come up", up, FEW);
+    let taken = |stage: &Stage| stage.fleet.servers[0].seen.taken.load(Ordering::Relaxed);
+    checks.that("the server that is to drain has clients", taken(&stage) > 0, taken(&stage));
+    stage.fleet.set(0, "DRAINING");
+    let next = lines.iter_mut().map(|client| Box::pin(client.next()));
+    let (first, ..) = within("a first MOVE", futures_util::future::select_all(next)).await?;
+    checks.equal("a client hears of a drain that only the agent tells", first?.as_deref(), Some("MOVE"));
+    let before = taken(&stage);
+    let (_more, up) = stage.line_clients(FEW).await?;
+    checks.equal("new clients come up", up, FEW);
+    checks.equal("none of them at the draining server", taken(&stage), before);
+    stage.fleet.set(0, "SERVING");
+    let mut tries = 0;
+    while taken(&stage) == before && tries < PATIENT {
+        tries += 1;
+        drop(stage.line_clients(1).await?);
+    }
+    checks.that("it is used again once the agent says so", taken(&stage) > before, format!("{tries} tries"));
+    Ok(checks)
+}
+
 /// Clients that say nothing, nonsense, too much, or what belongs to others.
 async fn rude(program: &Path) -> Result<Checks, RehearsalError> {
     let mut checks = Checks::default();
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -83,6 +83,9 @@
         let figures = Arc::new(Figures::new(names.classes.names()));
         let (office, calls) = Office::new(figures.clone());
         let handle = Handle::new(figures, sender);
+        // A list that is pushed comes from an agent of this machine, which has to be watched all the same;
+        // the module asks only where the list is one service for all.
+        let pushed = settings.discovery == Discovery::Pushed;
         let core = Self {
             engine: Engine::new(settings, config.seed, anchor),
             names,
@@ -99,7 +102,7 @@
             told: false,
             fleet: watch::Sender::new(BTreeMap::new()),
             connect_timeout: duration(config.facts.connect_timeout()),
-            effects: Vec::new(),
+            effects: pushed.then_some(Effect::Subscribe).into_iter().collect(),
             health: office.health.clone(),
             post,
             calls,
--- a/tests/rehearsal.rs
+++ b/tests/rehearsal.rs
@@ -30,6 +30,7 @@
     clients_of_lost_servers_are_told: "loss";
     a_planned_stop_moves_everyone: "stop";
     a_reload_moves_to_the_new_discovery: "reload";
+    a_pushed_list_is_followed: "pushed";
     the_rude_are_told_and_the_others_served: "rude";
     a_new_version_takes_the_clients_over: "upgrade";
     the_backup_takes_over: "vrrp-failover";
