Requests wait for a paced server rather than go to one set aside

At fault: `fit` in brain.rs skipped a paced server as if it were not there and went on to the last rung. Change: while a server on a better rung has only spent its allowance, those set aside are not drawn; the request is held, tried again every tenth of an aim, and refused in time as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,9 +1,7 @@
 //! All decisions of ashtide. The types, events and actions are in `interface.rs`.
-//!
 //! Read it as a connection travels: list, draw and compare, attempt, outcome, final answer; then cold starts,
 //! health and timers. The ordinary path is two ready servers drawn at random, the one with fewer of this
-//! relay's own open connections wins, and placed connections stay put (Luczak and McDiarmid). All else is an
-//! exception with its reason beside it.
+//! relay's own open connections wins, and placed connections stay put (Luczak and McDiarmid).
 
 use std::collections::BTreeMap;
 
@@ -34,8 +32,9 @@
 const PACED_FOR: f64 = 2.0;
 /// A server of another zone counts as this much fuller: a crossing costs little beside a full server.
 const FAR: f64 = 1.25;
-/// Rungs of the ladder on which fit servers stand; see `rung`.
+/// Rungs of the ladder on which fit servers stand, and the one of those set aside; see `rung`.
 const LADDER: u8 = 4;
+const SET_ASIDE: u8 = 3;
 /// First-attempt time-out, as a part of the time left. Half leaves as much for a second server.
 const FIRST_TRY: f64 = 0.5;
 /// Set-ups out at once grow by one for each window of quick ones, and shrink to this part with each other.
@@ -461,19 +460,20 @@
     }
 
     /// The servers fit for this request, on the first rung that has any: when all are hot, all serve again.
-    /// Those that it has tried, and then those set aside, come last. A swamped server is on no rung: where
-    /// there are no others, the request is held, and refused in the end, so that those placed are served.
+    /// Those set aside come last, unless another's allowance is only spent: the request is held for that one.
+    /// A swamped server is on no rung: it is held, and refused in the end, so that those placed are served.
     fn fit(&mut self, now: Time, request: &Pending) -> Vec<ServerId> {
         let (mut lowest, mut fit) = (LADDER, Vec::new());
         for at in 0..self.ready.len() {
             let server = self.ready[at];
             let rung = self.rung(now, request, self.server(server));
-            let may = rung <= lowest && rung < LADDER && self.may_get(now, request, server);
-            if may && self.allows(now, server) {
-                if rung < lowest {
-                    (lowest, fit) = (rung, Vec::new());
+            if rung <= lowest && rung < LADDER && self.may_get(now, request, server) {
+                let allowed = self.allows(now, server);
+                let reach = if allowed { rung } else { rung.max(SET_ASIDE - 1) };
+                if reach < lowest {
+                    (lowest, fit) = (reach, Vec::new());
                 }
-                fit.push(server);
+                fit.extend(allowed.then_some(server));
             }
         }
         fit
@@ -486,7 +486,7 @@
         let sheds = server.shed_until.is_some_and(|until| now < until) || server.laden(now);
         match () {
             () if hot && server.swamped => LADDER,
-            () if set_aside => 3,
+            () if set_aside => SET_ASIDE,
             () if request.tried.contains(&server.listing.server) => 2,
             () => u8::from(hot || sheds),
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -551,3 +551,37 @@
     let more = (2..40).filter(|&id| relay.request(1.3, id) == Some(ServerId(2))).count();
     assert!(more < 3, "it may be cold: {more}");
 }
+
+#[test]
+fn a_request_waits_for_a_paced_server_rather_than_go_to_one_set_aside() {
+    let mut relay = filled(settings(Effect::Safe), 2, 20, 1.0);
+    let started = Listing { started: Some(at(1.0)), ..listing(1) };
+    relay.list(1.0, ListNews::Changes, vec![started]);
+    // The old one is gone before the list says so.
+    let mut dead = 0;
+    let (mut held, mut placed) = (0, 0);
+    for id in 0..80 {
+        let now = 1.0 + 0.02 * f64::from(id);
+        let mut out = relay.request(now, id);
+        for attempt_number in 0..3 {
+            match out {
+                Some(ServerId(0)) => {
+                    dead += 1;
+                    let ended = relay.ended(now, id, attempt_number, Outcome::ConnectError);
+                    out = attempt(&ended);
+                }
+                Some(_) => {
+                    placed += 1;
+                    relay.established(now, id, attempt_number);
+                    break;
+                }
+                None => {
+                    held += 1;
+                    break;
+                }
+            }
+        }
+    }
+    assert!(dead <= 3, "{dead} attempts at a server that refuses connections");
+    assert!(placed > 0 && held > placed, "{placed} placed and {held} held");
+}
