A process that leaves passes its standing connections to its successor, sockets and all

Looked at: the logs. At fault: `leave` in engine.rs tells everyone to move though a successor that could serve them is ready. docs/design.md had left passing on out as a move "costs a client little"; that was never measured. Change: sessions stop where they are and go on in the successor: src/handover.rs `Standing` (what goes with two sockets), src/net/passing.rs (the datagram and its descriptors), engine.rs `hand_over` and `adopt`.

--- a/crates/ashtide-rehearsal/src/clients.rs
+++ b/crates/ashtide-rehearsal/src/clients.rs
@@ -76,6 +76,15 @@
         Ok((client, answer))
     }
 
+    /// Sends the beginning of a line.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the connection has ended.
+    pub async fn begin(&mut self, part: &str) -> Result<(), RehearsalError> {
+        Ok(self.write.write_all(part.as_bytes()).await?)
+    }
+
     /// Sends one line.
     ///
     /// # Errors
--- a/crates/ashtide-rehearsal/src/daemon.rs
+++ b/crates/ashtide-rehearsal/src/daemon.rs
@@ -215,6 +215,15 @@
         self.signal(Signal::TERM)
     }
 
+    /// Stops this daemon where it stands, as a machine that stalls, or lets it go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it is no longer there.
+    pub fn stall(&self, stalled: bool) -> Result<(), RehearsalError> {
+        self.signal(if stalled { Signal::STOP } else { Signal::CONT })
+    }
+
     fn signal(&self, signal: Signal) -> Result<(), RehearsalError> {
         let id = self.child.id().and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
         let id = id.ok_or(RehearsalError::Late("a daemon that runs"))?;
--- a/crates/ashtide-wire/src/server.rs
+++ b/crates/ashtide-wire/src/server.rs
@@ -46,6 +46,11 @@
 }
 
 impl ServerSide {
+    /// The side of a connection that stood before, as one taken over from another process.
+    pub fn standing() -> Self {
+        Self { written: true, up: true, last: None }
+    }
+
     /// The first line's last byte has been written: from here on it may have run.
     pub fn written(&mut self) {
         self.written = true;
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -34,6 +34,8 @@
 const DRAINED_OVER: Span = Span::from_micros(8_000_000);
 /// Connections of a server that is gone from the list are moved within this time.
 const GONE_OVER: Span = Span::from_micros(1_000_000);
+/// Connections taken over from another process are moved in so many groups, where they must be.
+const ADOPTED_SPREAD: u32 = 16;
 /// A process that leaves keeps its connections for this part of the time it has to move them: they are
 /// served meanwhile, and where others restart in turn, the one before is back.
 const LEAVE_FROM: f64 = 0.4;
@@ -82,6 +84,13 @@
         /// Which request.
         id: RequestId,
     },
+    /// Pass this standing connection to the process that succeeds this one.
+    Hand {
+        /// Which request.
+        id: RequestId,
+        /// The server that holds it.
+        server: ServerId,
+    },
     /// Probe a server.
     Probe {
         /// Which.
@@ -168,8 +177,9 @@
     told: Time,
     /// When the standing connections are next to be looked over.
     next_sweep: Time,
-    /// Set while leaving: connections that come up are moved at this time.
+    /// Set while leaving: connections that come up are moved at this time, or handed on at once.
     leaving: Option<Time>,
+    handing: bool,
     inbox: VecDeque<Event>,
 }
 
@@ -196,6 +206,7 @@
             told: anchor.0,
             next_sweep: anchor.0 + SWEEP,
             leaving: None,
+            handing: false,
             inbox: VecDeque::new(),
         };
         engine.schedule(anchor.0 + SWEEP, Due::Sweep);
@@ -323,7 +334,28 @@
         self.cancel(timeout);
         self.pulses.entry(server).or_default().heard = Some(now);
         self.run(now, Event::Established { id, attempt, after: now.since(sent) }, out);
-        if let Some(at) = self.leaving {
+        if self.handing {
+            self.hand(id, out);
+            self.drain(now, out);
+        } else if let Some(at) = self.leaving {
+            self.schedule(at, Due::Move(id));
+        }
+    }
+
+    /// A standing connection that an older process of this gateway has passed on. What that one had begun
+    /// there, as a server drains or is gone, is begun anew.
+    pub fn adopt(&mut self, now: Time, request: Request, server: ServerId, out: &mut Vec<Effect>) {
+        let id = request.id;
+        self.existing(now, request, server, out);
+        let state = self.pulses.get(&server).map_or(ServerState::Gone, |pulse| pulse.state);
+        let spread = f64::from(id.0 % ADOPTED_SPREAD + 1) / f64::from(ADOPTED_SPREAD);
+        let over = match state {
+            ServerState::Ready => None,
+            ServerState::Draining => Some(DRAINED_OVER.scale(spread)),
+            ServerState::Gone => Some(GONE_OVER.scale(spread)),
+        };
+        let at = over.map(|over| now + over).into_iter().chain(self.leaving).min();
+        if let Some(at) = at {
             self.schedule(at, Due::Move(id));
         }
     }
@@ -402,6 +434,26 @@
         self.run(now, Event::Probed { server, ok, report: None }, out);
     }
 
+    /// This process leaves, and its successor takes over what stands: every standing connection is handed
+    /// on now, and what comes up later once it does.
+    pub fn hand_over(&mut self, now: Time, over: Span, last: Span, out: &mut Vec<Effect>) {
+        self.handing = true;
+        (self.leaving, _) = (Some(now + over), self.schedule(now + last, Due::Leave));
+        let standing: Vec<RequestId> = self.standing().map(|(id, _)| id).collect();
+        for id in standing {
+            self.hand(id, out);
+        }
+        self.drain(now, out);
+    }
+
+    fn hand(&mut self, id: RequestId, out: &mut Vec<Effect>) {
+        let open = self.records.get(&id).and_then(|r| r.out.as_ref()).filter(|open| open.established);
+        if let Some((attempt, server)) = open.map(|open| (open.attempt, open.server)) {
+            out.push(Effect::Hand { id, server });
+            self.end(id, attempt, Outcome::Cancelled);
+        }
+    }
+
     /// This process leaves: every standing connection is moved, spread over the later part of `over`,
     /// those that come up later at its end; after `last` no request stays unanswered.
     pub fn leave(&mut self, now: Time, over: Span, last: Span) {
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use tokio_util::codec::Decoder;
 
@@ -44,6 +44,8 @@
     pub started: u64,
     /// Whether it takes clients.
     pub ready: bool,
+    /// Whether it takes over the standing connections of one that leaves.
+    pub adopts: bool,
     /// The run has begun: `at=` is over.
     pub begun: bool,
     /// Descriptors that it holds or keeps for itself.
@@ -109,6 +111,8 @@
 pub struct Others {
     /// Whether a younger one takes the clients.
     pub succeeded: bool,
+    /// When the youngest of those started that takes over standing connections.
+    pub heir: Option<u64>,
     /// The run has begun for one of them.
     pub begun: bool,
     /// Descriptors that they use.
@@ -123,7 +127,9 @@
     /// The sum of these, as one that started at `started` sees them.
     pub fn sum<'a>(started: u64, states: impl Iterator<Item = &'a State>) -> Self {
         states.fold(Self::default(), |mut all, state| {
-            all.succeeded |= state.ready && state.started > started;
+            let succeeds = state.ready && state.started > started;
+            all.succeeded |= succeeds;
+            all.heir = all.heir.max((succeeds && state.adopts).then_some(state.started));
             all.begun |= state.begun;
             all.sockets += state.sockets;
             all.cordons.merge(&state.cordons);
@@ -137,6 +143,81 @@
     }
 }
 
+/// Most bytes that go with a connection's sockets: a line of each side that has been begun, and what was
+/// read behind it.
+pub const MAX_STANDING: usize = 64 << 10;
+
+/// Why what goes with a connection's sockets cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum StandingError {
+    /// No end of the head.
+    #[error("no head")]
+    NoHead,
+    /// Not a head of this version.
+    #[error("{0}")]
+    Form(#[from] serde_json::Error),
+    /// The bytes behind the head are not those that it tells of.
+    #[error("{told} bytes told, {found} found")]
+    Length {
+        /// By the head.
+        told: usize,
+        /// Behind it.
+        found: usize,
+    },
+}
+
+/// A standing connection on its way to a younger process: what goes with its two sockets, in one datagram.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Standing {
+    /// The name of the server that holds it.
+    pub server: String,
+    /// The client's `OPEN` line as it came.
+    pub open: Bytes,
+    /// The rest of a line that has been begun towards the client, and what was read of the server behind it.
+    pub to_client: (Bytes, Bytes),
+    /// The same towards the server, and of the client.
+    pub to_server: (Bytes, Bytes),
+}
+
+#[derive(Serialize, Deserialize)]
+struct Head {
+    server: String,
+    lengths: [usize; 5],
+}
+
+impl Standing {
+    fn parts(&self) -> [&Bytes; 5] {
+        [&self.open, &self.to_client.0, &self.to_client.1, &self.to_server.0, &self.to_server.1]
+    }
+
+    /// The datagram; nothing where it would be longer than [`MAX_STANDING`].
+    pub fn datagram(&self) -> Option<Vec<u8>> {
+        let parts = self.parts();
+        let head = Head { server: self.server.clone(), lengths: parts.map(Bytes::len) };
+        let mut all = serde_json::to_vec(&head).ok()?;
+        all.push(b'\n');
+        parts.iter().for_each(|part| all.extend_from_slice(part));
+        (all.len() <= MAX_STANDING).then_some(all)
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it is not whole or has another form.
+    pub fn read(mut datagram: Bytes) -> Result<Self, StandingError> {
+        let end = datagram.iter().position(|&byte| byte == b'\n').ok_or(StandingError::NoHead)?;
+        let Head { server, lengths } = serde_json::from_slice(&datagram.split_to(end))?;
+        datagram.advance(1);
+        let told = lengths.iter().fold(0, |sum: usize, &length| sum.saturating_add(length));
+        if told != datagram.len() {
+            return Err(StandingError::Length { told, found: datagram.len() });
+        }
+        let [open, begun, said, begun_back, said_back] = lengths.map(|length| datagram.split_to(length));
+        Ok(Self { server, open, to_client: (begun, said), to_server: (begun_back, said_back) })
+    }
+}
+
 /// The last call on a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Call {
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use ashtide::config::{Config, Fronts};
+use ashtide::handover::State;
 use ashtide::net::core::Core;
 use ashtide::net::handover::{self, Place, Post};
 use ashtide::net::lobby::Lobby;
@@ -64,7 +65,11 @@
     // What an older process has heard is newer than what this one was given.
     let relayed = met.as_ref().and_then(|met| met.list.clone());
     let known = [config.known.clone(), relayed].into_iter().flatten().max_by_key(|list| list.index);
-    let post = Post::new(lobby.clone(), place.clone(), kept, config.kept_sockets(others), started);
+    let inbox = place.as_ref().and_then(|place| place.receive(started));
+    let state = State { started, adopts: inbox.is_some(), ..State::default() };
+    let (heirs, heir) = watch::channel(None);
+    let own = config.kept_sockets(others);
+    let post = Post::new(lobby.clone(), place.clone(), kept, own, state, heir.clone());
     let telling = post.telling();
     let (words, saying) = mpsc::channel(gossip::QUEUE);
     let (core, handle, office) = Core::new(&config, subscribe, words, post)?;
@@ -83,9 +88,13 @@
     tokio::spawn(reload::follow(hangup, config.standing, found));
     let times = session::Times { connect: duration(config.facts.connect_timeout()) };
     let (accepts, accepting) = watch::channel(true);
-    tokio::spawn(listen::serve(listener, lobby.clone(), times, accepting, handle.clone()));
-    if let Some(met) = met {
-        tokio::spawn(handover::run(met, telling, lobby, accepts.clone(), handle.clone()));
+    let front = session::Front::new(lobby.clone(), times, handle.clone(), heir);
+    if let Some(inbox) = inbox {
+        tokio::spawn(listen::adopt(inbox, front.clone()));
+    }
+    tokio::spawn(listen::serve(listener, front, accepting));
+    if let (Some(met), Some(place)) = (met, place.clone()) {
+        tokio::spawn(handover::run(met, telling, lobby, accepts.clone(), handle.clone(), place, heirs));
     }
     let (stop, stopping) = watch::channel(false);
     if let Some(front) = fronts.quic {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -135,8 +135,12 @@
                 biased;
                 Some(call) = self.calls.recv() => self.call(call),
                 () = tokio::time::sleep_until(end.unwrap_or_else(Instant::now)), if end.is_some() => {
-                    // What has just been answered still has to reach its clients.
+                    // What has just been answered still has to reach its clients, and what is passed on its
+                    // successor.
                     tokio::time::sleep(FLUSH).await;
+                    while self.post.heir().is_some_and(|heir| heir.busy()) {
+                        tokio::time::sleep(FLUSH).await;
+                    }
                     return;
                 }
                 due = self.engine.due() => {
@@ -196,6 +200,16 @@
                     _ => self.effects.push(Effect::Answer { id, answer: Answer::Failed }),
                 }
             }
+            Report::Adopted(id, ask, server, port) => {
+                self.ports.insert(id, port);
+                let server = self.names.servers.find(&server).map(ServerId);
+                match (self.request(id, &ask), server) {
+                    (Some(request), Some(server)) => {
+                        self.engine.adopt(now, request, server, &mut self.effects);
+                    }
+                    _ => self.effects.push(Effect::Move { id }),
+                }
+            }
             Report::Up(id, attempt) => self.engine.established(now, id, attempt, out),
             Report::Ended(id, attempt, outcome) => {
                 if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
@@ -247,7 +261,13 @@
                 self.health.leaving();
                 let last = grace.saturating_sub(LAST_MARGIN);
                 let over = last.saturating_sub(LAST_MARGIN);
-                self.engine.leave(now, span(over), span(last));
+                if self.post.heir().is_some() {
+                    self.engine.hand_over(now, span(over), span(last), &mut self.effects);
+                    let handed = self.effects.iter().filter(|it| matches!(it, Effect::Hand { .. })).count();
+                    eprintln!("handover: passes {handed} connections to its successor");
+                } else {
+                    self.engine.leave(now, span(over), span(last));
+                }
                 let start = Instant::now();
                 self.leaving = Some((start + STAY.min(last), start + last + FLUSH));
             }
@@ -367,6 +387,11 @@
                     self.command(id, Command::Move);
                     self.ports.remove(&id);
                 }
+                Effect::Hand { id, server } => {
+                    let server = self.names.servers.names()[server.0 as usize].clone();
+                    self.command(id, Command::Hand(server));
+                    self.ports.remove(&id);
+                }
                 Effect::Probe { server } => {
                     let probe = super::probe::run(self.addresses[&server], self.connect_timeout);
                     let handle = self.handle.clone();
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -15,6 +15,7 @@
 use tokio_util::codec::FramedRead;
 
 use super::lobby::Lobby;
+use super::passing::{Heir, Inbox};
 use super::report::{Handle, Report};
 use crate::discovery::News;
 use crate::handover::{Call, Cordons, Kept, Others, Share, State, Word, WordCodec};
@@ -59,9 +60,21 @@
         self.folder.join(format!("{}.{started}.sock", self.name))
     }
 
+    fn inbox(&self, started: u64) -> PathBuf {
+        self.folder.join(format!("{}.{started}.inbox", self.name))
+    }
+
+    /// Where this process receives the connections of one that leaves; nothing, said once, where it cannot.
+    pub fn receive(&self, started: u64) -> Option<Inbox> {
+        let path = self.inbox(started);
+        let inbox = Inbox::bind(&path);
+        inbox.map_err(|e| eprintln!("handover: {}: {e}; takes no connections over", path.display())).ok()
+    }
+
     /// Takes away what this process listened at.
     pub fn leave(&self, started: u64) {
         let _ = std::fs::remove_file(self.socket(started));
+        let _ = std::fs::remove_file(self.inbox(started));
     }
 
     fn file(&self) -> PathBuf {
@@ -105,6 +118,7 @@
                 Ok(Ok(link)) => links.push(link),
                 Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
                     let _ = std::fs::remove_file(entry.path());
+                    let _ = std::fs::remove_file(entry.path().with_extension("inbox"));
                 }
                 _ => {}
             }
@@ -129,14 +143,26 @@
     kept: Kept,
     own: usize,
     telling: watch::Sender<Telling>,
+    heir: watch::Receiver<Option<Arc<Heir>>>,
 }
 
 impl Post {
-    /// The post of a process that started then and holds `own` descriptors beside its clients'.
-    pub fn new(lobby: Lobby, place: Option<Place>, kept: Kept, own: usize, started: u64) -> Self {
-        let state = State { started, ..State::default() };
+    /// The post of a process that stands like this and holds `own` descriptors beside its clients'.
+    pub fn new(
+        lobby: Lobby,
+        place: Option<Place>,
+        kept: Kept,
+        own: usize,
+        state: State,
+        heir: watch::Receiver<Option<Arc<Heir>>>,
+    ) -> Self {
         let telling = watch::Sender::new(Telling { state, list: None });
-        Self { lobby, place, kept, own, telling }
+        Self { lobby, place, kept, own, telling, heir }
+    }
+
+    /// The successor, once it takes standing connections over.
+    pub fn heir(&self) -> Option<Arc<Heir>> {
+        self.heir.borrow().clone()
     }
 
     /// What is told, as it changes.
@@ -153,9 +179,9 @@
         }
         let sockets = self.own + self.lobby.sockets();
         self.telling.send_modify(|telling| {
-            let started = telling.state.started;
+            let (started, adopts) = (telling.state.started, telling.state.adopts);
             let cordons = self.kept.cordons.clone();
-            telling.state = State { started, ready, begun, sockets, shares, cordons };
+            telling.state = State { started, ready, adopts, begun, sockets, shares, cordons };
         });
     }
 
@@ -256,6 +282,8 @@
     lobby: Lobby,
     accepting: watch::Sender<bool>,
     core: Handle,
+    place: Place,
+    heirs: watch::Sender<Option<Arc<Heir>>>,
 }
 
 /// Keeps the links for as long as the process runs.
@@ -265,9 +293,11 @@
     lobby: Lobby,
     accepting: watch::Sender<bool>,
     core: Handle,
+    place: Place,
+    heirs: watch::Sender<Option<Arc<Heir>>>,
 ) {
     let started = telling.borrow().state.started;
-    let links = Links { started, states: Arc::default(), telling, lobby, accepting, core };
+    let links = Links { started, states: Arc::default(), telling, lobby, accepting, core, place, heirs };
     let mut number = 0;
     for (words, write, state) in met.links {
         links.set(number, Some(state)).await;
@@ -350,6 +380,14 @@
             *accepting = !others.succeeded;
             changed
         });
+        self.heirs.send_if_modified(|heir| {
+            let changed = heir.as_ref().map(|heir| heir.started) != others.heir;
+            if changed {
+                let way = |started| Heir::connect(&self.place.inbox(started), started).ok();
+                *heir = others.heir.and_then(way).map(Arc::new);
+            }
+            changed
+        });
         self.core.tell(Report::Beside(others.shares, others.cordons)).await;
     }
 }
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,14 +1,13 @@
-//! Accepts clients of the lines front.
+//! Takes clients of the lines front in: those that come, and those of a process that leaves.
 
 use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use super::lobby::Lobby;
 use super::log::Limited;
-use super::report::Handle;
-use super::session::{Front, Times};
+use super::passing::Inbox;
+use super::session::Front;
 
 /// After an accept that failed (no descriptor left, say), the next one waits a little.
 const AFTER_FAILURE: Duration = Duration::from_millis(20);
@@ -17,17 +16,11 @@
 const IN_A_ROW: usize = 8;
 
 static TROUBLE: Limited = Limited::new("clients");
+static PASSED: Limited = Limited::new("handover");
 
 /// Accepts for as long as `accepting` says, whoever comes; the lobby decides who may stay. What is not
 /// accepted waits in the listener's queue for whoever shares it.
-pub async fn serve(
-    listener: TcpListener,
-    lobby: Lobby,
-    times: Times,
-    mut accepting: watch::Receiver<bool>,
-    core: Handle,
-) {
-    let front = Front::new(lobby, times, core);
+pub async fn serve(listener: TcpListener, front: Front, mut accepting: watch::Receiver<bool>) {
     let mut row = 0;
     loop {
         if accepting.wait_for(|&accepting| accepting).await.is_err() {
@@ -54,3 +47,18 @@
         }
     }
 }
+
+/// Takes over what an older process passes on, for as long as the process runs.
+pub async fn adopt(inbox: Inbox, front: Front) {
+    loop {
+        match inbox.next().await {
+            Ok((standing, [client, server])) => {
+                tokio::spawn(front.clone().adopt(standing, client, server));
+            }
+            Err(error) => {
+                PASSED.say(format_args!("a connection that was passed on: {error}"));
+                tokio::time::sleep(AFTER_FAILURE).await;
+            }
+        }
+    }
+}
--- a/src/net/lobby.rs
+++ b/src/net/lobby.rs
@@ -66,6 +66,16 @@
         free.then(|| Permit { lobby: self.clone() })
     }
 
+    /// A permit for a session that another process of this balancer had: its descriptors are counted there
+    /// until it tells anew, so there is always room.
+    pub fn adopt(&self) -> Permit {
+        let mut inside = self.inside();
+        inside.sessions += 1;
+        inside.beside = inside.beside.saturating_sub(2);
+        drop(inside);
+        Permit { lobby: self.clone() }
+    }
+
     /// Takes a client in, and whether others had to go for it.
     pub fn enter(&self) -> (Place, bool) {
         let (sender, displaced) = oneshot::channel();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod listen;
 pub mod lobby;
 pub mod log;
+pub mod passing;
 pub mod probe;
 pub mod quic;
 pub mod reload;
--- a/src/net/quic.rs
+++ b/src/net/quic.rs
@@ -539,7 +539,8 @@
                 }
                 (None, _) => self.send_away(id).await,
             },
-            Command::Move => self.send_away(id).await,
+            // Its paths are sockets of this process alone, so it is not handed on.
+            Command::Move | Command::Hand(_) => self.send_away(id).await,
         }
     }
 
--- a/src/net/report.rs
+++ b/src/net/report.rs
@@ -56,6 +56,8 @@
     Answer(Answer),
     /// Send the client of the standing connection away.
     Move,
+    /// Pass the standing connection, which the named server holds, to the successor.
+    Hand(String),
 }
 
 /// Where a front takes its commands.
@@ -68,6 +70,8 @@
     Request(RequestId, Ask, Port),
     /// A connection that stood on the named server before.
     Existing(RequestId, Ask, String, Port),
+    /// A connection that stands at the named server, taken over from an older process.
+    Adopted(RequestId, Ask, String, Port),
     /// An attempt's connection stands.
     Up(RequestId, u32),
     /// An attempt or connection has ended.
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -5,14 +5,17 @@
 //! way until it has been: that is the back-pressure. `Framed`'s buffer moves its rest to the front
 //! where a ring would wrap; no second buffer stands behind it.
 
+use std::io::Cursor;
+use std::os::fd::{AsFd, OwnedFd};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::StreamExt;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Chain};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::FramedRead;
 
@@ -23,9 +26,11 @@
 
 use super::lobby::{Heard, Lobby, Permit, Place};
 use super::log::Limited;
+use super::passing::Heir;
 use super::report::{Ask, COMMANDS, Command, Handle, Report, duration, span};
 use crate::engine::Answer;
 use crate::figures::Count;
+use crate::handover::Standing;
 use crate::interface::{Outcome, RequestId, Span};
 use crate::open_ids::{Claim, OpenIds};
 
@@ -60,7 +65,9 @@
     pub connect: Duration,
 }
 
-type Lines = FramedRead<OwnedReadHalf, LineCodec>;
+/// What another process has read of the socket and not passed on comes first.
+type Source = Chain<Cursor<Bytes>, OwnedReadHalf>;
+type Lines = FramedRead<Source, LineCodec>;
 
 struct Peer {
     lines: Lines,
@@ -69,9 +76,25 @@
 
 impl Peer {
     fn new(stream: TcpStream) -> Self {
+        Self::taken_over(stream, Bytes::new())
+    }
+
+    /// A socket of which so much has been read already.
+    fn taken_over(stream: TcpStream, read_before: Bytes) -> Self {
         let _ = stream.set_nodelay(true);
         let (read, write) = stream.into_split();
-        Self { lines: FramedRead::with_capacity(read, LineCodec::default(), LINE_ROOM), write }
+        let source = AsyncReadExt::chain(Cursor::new(read_before), read);
+        Self { lines: FramedRead::with_capacity(source, LineCodec::default(), LINE_ROOM), write }
+    }
+
+    /// The socket, and what has been read of it and not been taken as a line.
+    fn into_parts(self) -> std::io::Result<(std::net::TcpStream, Bytes)> {
+        let mut unread = self.lines.read_buffer().clone();
+        let (before, read) = self.lines.into_inner().into_inner();
+        let from = usize::try_from(before.position()).unwrap_or(usize::MAX).min(before.get_ref().len());
+        unread.extend_from_slice(&before.get_ref()[from..]);
+        let stream = read.reunite(self.write).map_err(std::io::Error::other)?;
+        Ok((stream.into_std()?, unread.freeze()))
     }
 
     /// Writes a last line and ends politely: half-close, then wait for the other end, as a close
@@ -98,7 +121,7 @@
 
     /// Ends as the other side did: with a reset.
     fn reset(self) {
-        if let Ok(stream) = self.lines.into_inner().reunite(self.write) {
+        if let Ok(stream) = self.lines.into_inner().into_inner().1.reunite(self.write) {
             let _ = stream.set_zero_linger();
         }
     }
@@ -112,6 +135,8 @@
     times: Times,
     core: Handle,
     ids: OpenIds,
+    /// Who takes standing connections over when this process leaves.
+    heir: watch::Receiver<Option<Arc<Heir>>>,
 }
 
 /// How a client's first lines ended.
@@ -139,8 +164,52 @@
 
 impl Front {
     /// The front, with no clients yet.
-    pub fn new(lobby: Lobby, times: Times, core: Handle) -> Self {
-        Self { lobby, times, core, ids: OpenIds::default() }
+    pub fn new(lobby: Lobby, times: Times, core: Handle, heir: watch::Receiver<Option<Arc<Heir>>>) -> Self {
+        Self { lobby, times, core, ids: OpenIds::default(), heir }
+    }
+
+    /// Goes on with a connection that an older process has passed on.
+    pub async fn adopt(self, standing: Standing, client: OwnedFd, server: OwnedFd) {
+        let stream = |socket: OwnedFd| TcpStream::from_std(std::net::TcpStream::from(socket));
+        let (Ok(client), Ok(server)) = (stream(client), stream(server)) else { return };
+        let client = Peer::taken_over(client, standing.to_server.1);
+        let server = Peer::taken_over(server, standing.to_client.1);
+        let open = Open::parse(standing.open);
+        let claim = open.as_ref().ok().and_then(|open| self.ids.claim(&open.id));
+        let (Ok(open), Some(claim)) = (open, claim) else {
+            // Neither can come of a process that read the line and held the id; the client is owed a word.
+            return client.finish(&rest(standing.to_client.0, MOVE)).await;
+        };
+        let permit = self.lobby.adopt();
+        let (id, (port, commands)) = (self.core.next_id(), mpsc::channel(COMMANDS));
+        self.core.tell(Report::Adopted(id, ask(&open), standing.server, port)).await;
+        let (front, early) = (self, BytesMut::from(&standing.to_server.0[..]));
+        let side = ClientSide::default();
+        let session = Session { id, open, client, side, early, commands, front, claim };
+        session.relay(0, server, ServerSide::standing(), standing.to_client.0, true).await;
+        drop(permit);
+    }
+
+    /// Passes a connection to the successor; its client, if there is none or it will not.
+    async fn hand(&self, standing: Standing, client: Peer, server: Peer) -> Result<(), Option<Peer>> {
+        let (Ok((client, client_said)), Ok((server, server_said))) =
+            (client.into_parts(), server.into_parts())
+        else {
+            return Err(None);
+        };
+        let standing = Standing {
+            to_client: (standing.to_client.0, server_said),
+            to_server: (standing.to_server.0, client_said),
+            ..standing
+        };
+        let heir = self.heir.borrow().clone();
+        if let (Some(heir), Some(datagram)) = (heir, standing.datagram()) {
+            if heir.pass(&datagram, [client.as_fd(), server.as_fd()]).await.is_ok() {
+                return Ok(());
+            }
+        }
+        drop(server);
+        Err(TcpStream::from_std(client).ok().map(Peer::new))
     }
 
     /// Serves one client. Its place is kept until it has a session or has gone.
@@ -203,13 +272,7 @@
         let id = self.core.next_id();
         let (port, commands) = mpsc::channel(COMMANDS);
         let wait = span(open.wait.unwrap_or(EXISTING));
-        let ask = Ask {
-            class: open.class.clone(),
-            tenant: open.tenant.clone(),
-            group: open.group.clone(),
-            wait,
-            load: open.load,
-        };
+        let ask = Ask { wait, ..ask(&open) };
         self.core
             .tell(match &open.at {
                 Some(server) => Report::Existing(id, ask, server.clone(), port),
@@ -221,11 +284,22 @@
     }
 }
 
+/// What a client asks for, whatever it waits.
+fn ask(open: &Open) -> Ask {
+    Ask {
+        class: open.class.clone(),
+        tenant: open.tenant.clone(),
+        group: open.group.clone(),
+        load: open.load,
+        ..Ask::default()
+    }
+}
+
 /// Reads until the client has said what it wants or its time is up.
 async fn first(client: &mut Peer, side: &mut ClientSide, heard: &Heard) -> First {
     let by = Instant::now() + FIRST_LINE;
     let mut asked = false;
-    if timeout_at(by, client.lines.get_ref().readable()).await.is_ok() {
+    if timeout_at(by, client.lines.get_ref().get_ref().1.readable()).await.is_ok() {
         heard.spoke();
     }
     loop {
@@ -295,7 +369,7 @@
                             Tried::Bad(why) => return self.bad(&why).await,
                         }
                     }
-                    Some((_, Command::Close { .. })) => {}
+                    Some((_, Command::Close { .. } | Command::Hand(_))) => {}
                     Some((_, Command::Answer(answer))) => return self.answer(answer).await,
                     Some((_, Command::Move)) => return self.client.finish(MOVE).await,
                     // The core ends with the process only.
@@ -375,17 +449,29 @@
         }
     }
 
-    /// Passes lines both ways until either side ends or the core moves the client.
-    async fn pass(mut self, attempt: u32, mut server: Peer, mut side: ServerSide, up: Bytes) {
-        let id = self.id;
-        self.front.core.tell(Report::Up(id, attempt)).await;
-        self.side.up();
+    /// The connection stands.
+    async fn pass(self, attempt: u32, server: Peer, side: ServerSide, up: Bytes) {
+        self.front.core.tell(Report::Up(self.id, attempt)).await;
         if self.open.at.is_none() {
             self.front.lobby.begin();
         }
-        let mut to_client = up;
+        self.relay(attempt, server, side, up, false).await;
+    }
+
+    /// Passes lines both ways until either side ends or the core moves the client or hands it on; at first
+    /// `to_client`. `told` where the client knows that it stands.
+    async fn relay(
+        mut self,
+        attempt: u32,
+        mut server: Peer,
+        mut side: ServerSide,
+        mut to_client: Bytes,
+        mut told: bool,
+    ) {
+        let id = self.id;
+        self.side.up();
         let mut to_server = self.early.split().freeze();
-        let (mut last, mut told) = (false, false);
+        let mut last = false;
         let end = loop {
             if last && to_client.is_empty() {
                 break End::Server(side.end().into());
@@ -434,10 +520,27 @@
                 },
                 command = self.commands.recv() => match command {
                     Some((_, Command::Move)) | None => break End::Moved,
+                    // The server has said its last: there is nothing to hand on.
+                    Some((_, Command::Hand(_))) if last => break End::Server(side.end().into()),
+                    Some((_, Command::Hand(server))) => break End::Handed(server),
                     Some(_) => {}
                 },
             }
         };
+        if let End::Handed(name) = end {
+            let Self { open, client, front, claim, .. } = self;
+            drop(claim);
+            let standing = Standing {
+                server: name,
+                open: open.raw,
+                to_client: (to_client.clone(), Bytes::new()),
+                to_server: (to_server, Bytes::new()),
+            };
+            if let Err(Some(client)) = front.hand(standing, client, server).await {
+                client.finish(&rest(to_client, MOVE)).await;
+            }
+            return;
+        }
         // The server's side is closed before anyone else may have the id, and before the core hears.
         let outcome = match end {
             End::Client(true) => {
@@ -452,7 +555,7 @@
                 drop(server);
                 Some(outcome)
             }
-            End::Moved => {
+            End::Moved | End::Handed(_) => {
                 drop(server);
                 None
             }
@@ -468,7 +571,7 @@
                 self.client.finish(&rest(to_client, MOVE)).await;
             }
             End::Server(_) => self.client.finish(&rest(to_client, b"")).await,
-            End::Moved => self.client.finish(&rest(to_client, MOVE)).await,
+            End::Moved | End::Handed(_) => self.client.finish(&rest(to_client, MOVE)).await,
         }
     }
 }
@@ -487,6 +590,8 @@
     Client(bool),
     Server(Outcome),
     Moved,
+    /// To the successor, from this server.
+    Handed(String),
 }
 
 enum Tried {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -48,6 +48,7 @@
     effects: Vec<Effect>,
     seen: BTreeMap<RequestId, Seen>,
     moved: Vec<RequestId>,
+    handed: Vec<RequestId>,
 }
 
 impl World {
@@ -59,6 +60,7 @@
             effects: Vec::new(),
             seen: BTreeMap::new(),
             moved: Vec::new(),
+            handed: Vec::new(),
         };
         let entries = (0..SERVERS).map(|server| Listing::ready(ServerId(server), ZoneId(0))).collect();
         world.engine.list(now, ListNews::Whole, entries, &mut world.effects);
@@ -121,6 +123,12 @@
                     seen.over = true;
                     self.moved.push(id);
                 }
+                Effect::Hand { id, .. } => {
+                    let seen = self.seen.get_mut(&id).expect("a request of this world");
+                    assert!(matches!(seen.out.take(), Some((_, true))), "only what stands is handed on");
+                    seen.over = true;
+                    self.handed.push(id);
+                }
                 Effect::Probe { .. } | Effect::Subscribe | Effect::Tell { .. } => {}
             }
         }
@@ -331,3 +339,47 @@
     }
     assert_eq!(tell(&mut world, 1_004, 9.8), 0, "the delay is short again");
 }
+
+#[test]
+fn a_process_that_leaves_hands_on_what_stands_and_what_comes_up_later() {
+    with_time(async {
+        let mut world = World::new();
+        let ids: Vec<RequestId> = (0..6).map(|_| world.request()).collect();
+        ids[..4].iter().for_each(|&id| world.up(id));
+        world.engine.hand_over(world.now, micros(500), micros(800), &mut world.effects);
+        world.check();
+        assert_eq!((&world.handed[..], world.engine.open()), (&ids[..4], 2), "what stands goes at once");
+        world.up(ids[4]);
+        assert_eq!(world.handed.last(), Some(&ids[4]), "and what comes up later then");
+        world.pass(900).await;
+        assert!(world.moved.is_empty(), "nobody is moved");
+        assert_eq!(
+            (world.engine.open(), world.seen[&ids[5]].answers),
+            (0, 1),
+            "the last is answered in time"
+        );
+    });
+}
+
+#[test]
+fn what_is_taken_over_is_counted_and_moved_where_its_server_drains_or_has_gone() {
+    with_time(async {
+        let mut world = World::new();
+        let draining = Listing { state: ServerState::Draining, ..Listing::ready(ServerId(1), ZoneId(0)) };
+        world.engine.list(world.now, ListNews::Changes, vec![draining], &mut world.effects);
+        let (class, tenant, group) = (ClassId(0), None, None);
+        for number in 0..30 {
+            let id = RequestId(number);
+            let request = Request { id, class, tenant, group, time_left: micros(0), load: None };
+            world.seen.insert(id, Seen { out: Some((0, true)), attempts: 1, ..Seen::default() });
+            world.engine.adopt(world.now, request, ServerId(number % 2), &mut world.effects);
+        }
+        world.check();
+        assert_eq!((world.engine.open_on(ServerId(0)), world.engine.open_on(ServerId(1))), (15, 15));
+        world.pass(4000).await;
+        let half = world.moved.len();
+        assert!((4..12).contains(&half), "{half} of 15 moved in half of the time");
+        world.pass(4100).await;
+        assert_eq!((world.moved.len(), world.engine.open_on(ServerId(0))), (15, 15));
+    });
+}
--- a/tests/rehearsal.rs
+++ b/tests/rehearsal.rs
@@ -33,6 +33,7 @@
     a_pushed_list_is_followed: "pushed";
     the_rude_are_told_and_the_others_served: "rude";
     a_new_version_takes_the_clients_over: "upgrade";
+    connections_are_inherited_by_the_successor: "inheritance";
     the_backup_takes_over: "vrrp-failover";
     a_killed_balancers_devices_return_in_no_wave: "return";
 }
