Probes are bounded a server and a second by all gateways together, and counted at the door

Why: the second deployment prices probes and its servers pay for each with work; what a gateway may ask for must not grow with the tier, and operators must see what was spent. Change: src/probing.rs, without I/O or clock: a server is probed about once a second by all gateways together, as each has its turn once in as many seconds as there are gateways, from a phase of its own; none where the settings allow none. Figures probes_total and probes_withheld_total.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -15,6 +15,7 @@
 use crate::brain::Balancer;
 use crate::interface::*;
 use crate::notes::{Note, Notes, Told};
+use crate::probing::Probing;
 
 /// A connection whose oldest message has waited this long for the server is moved: the protocol
 /// allows 7 s from the last line returned, and clients send one every 2 s.
@@ -172,6 +173,7 @@
     tick: Span,
     slow_from: Span,
     notes: Notes,
+    probing: Probing,
     anchor: (Time, Instant),
     /// The latest time told.
     told: Time,
@@ -192,6 +194,8 @@
         let slow_from = aims.min().map_or(Span::ZERO, |aim| aim.scale(SLOW_PART));
         let tick = settings.tick.max(Span::from_micros(1_000));
         let told = Told { load: settings.tells_load, delay: settings.tells_delay };
+        let phase = f64::from((seed >> 32) as u32) / f64::from(u32::MAX);
+        let probing = Probing::new(settings.probes, settings.relays, phase);
         let mut engine = Self {
             module: Balancer::new(settings, seed),
             records: BTreeMap::new(),
@@ -202,6 +206,7 @@
             tick,
             slow_from,
             notes: Notes::new(told),
+            probing,
             anchor,
             told: anchor.0,
             next_sweep: anchor.0 + SWEEP,
@@ -289,6 +294,9 @@
         for entry in &entries {
             if before.get(&entry.server) != Some(&entry.state) {
                 self.notes.forget(entry.server);
+                if entry.state == ServerState::Gone {
+                    self.probing.forget(entry.server);
+                }
             }
             self.pulses.entry(entry.server).or_default().state = entry.state;
         }
@@ -429,6 +437,11 @@
         self.run(now, Event::Told { server, word }, out);
     }
 
+    /// Probes sent since the start, and those asked for and withheld.
+    pub fn probes(&self) -> (u64, u64) {
+        (self.probing.sent(), self.probing.withheld())
+    }
+
     /// A probe has come back.
     pub fn probed(&mut self, now: Time, server: ServerId, ok: bool, out: &mut Vec<Effect>) {
         self.run(now, Event::Probed { server, ok, report: None }, out);
@@ -612,7 +625,11 @@
             }
             Action::Move { id } => self.send_away(id, Outcome::Cancelled, out),
             Action::SetTimer { token, at } => _ = self.schedule(at, Due::Module(token)),
-            Action::Probe { server } => out.push(Effect::Probe { server }),
+            Action::Probe { server } => {
+                if self.probing.may(now, server) {
+                    out.push(Effect::Probe { server });
+                }
+            }
             Action::Subscribe => out.push(Effect::Subscribe),
             Action::Tell { server, word } => out.push(Effect::Tell { server, word }),
         }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -43,13 +43,19 @@
     Known,
     /// Servers on the list that are avoided, by hand or by choice.
     Skipped,
+    /// Probes sent since the start.
+    Probes,
+    /// Probes asked for since the start and not sent, for their price.
+    Withheld,
 }
 
 /// Every gauge, with its name.
-const GAUGES: [(Gauge, &str); 3] = [
+const GAUGES: [(Gauge, &str); 5] = [
     (Gauge::InProgress, "in_progress"),
     (Gauge::Known, "known_reading_servers"),
     (Gauge::Skipped, "skipped_reading_servers"),
+    (Gauge::Probes, "probes_total"),
+    (Gauge::Withheld, "probes_withheld_total"),
 ];
 
 /// The figures of one process.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod notes;
 pub mod open_ids;
 pub mod operator;
+pub mod probing;
 pub mod quic;
 pub mod vrrp;
 
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -164,6 +164,9 @@
         figures.set(Gauge::InProgress, self.engine.open());
         figures.set(Gauge::Known, self.listed.len());
         figures.set(Gauge::Skipped, self.engine.avoided(now));
+        let (sent, withheld) = self.engine.probes();
+        figures.set(Gauge::Probes, usize::try_from(sent).unwrap_or(usize::MAX));
+        figures.set(Gauge::Withheld, usize::try_from(withheld).unwrap_or(usize::MAX));
         let shares = self.listed.keys().filter_map(|name| {
             let server = self.names.servers.find(name).map(ServerId)?;
             let share = Share { open: self.engine.open_on(server), budget: self.engine.allowance(server) };
--- /dev/null
+++ b/src/probing.rs
@@ -0,0 +1,58 @@
+//! What probes may cost: each is work for a server and has a price, and what one gateway may do alone, hundreds
+//! do together. Knows no socket and no clock.
+
+use std::collections::BTreeMap;
+
+use crate::interface::{ServerId, Span, Time};
+
+/// One server is probed so often at most, by all gateways of the tier together. What a probe tells is renewed
+/// every half to one and a half seconds, so a second one sooner is work for nothing.
+const EVERY: Span = Span::from_micros(1_000_000);
+
+/// Who may be probed when, and how many were.
+#[derive(Debug)]
+pub struct Probing {
+    allowed: bool,
+    every: Span,
+    phase: f64,
+    next: BTreeMap<ServerId, Time>,
+    sent: u64,
+    withheld: u64,
+}
+
+impl Probing {
+    /// For one of `gateways` that share the servers; none is allowed where the settings allow none. `phase`,
+    /// from 0 to 1, is another at each gateway: all may start at once.
+    pub fn new(allowed: bool, gateways: u32, phase: f64) -> Self {
+        let every = EVERY.scale(f64::from(gateways.max(1)));
+        Self { allowed, every, phase, next: BTreeMap::new(), sent: 0, withheld: 0 }
+    }
+
+    /// Whether this server may be probed now; counts it either way.
+    pub fn may(&mut self, now: Time, server: ServerId) -> bool {
+        let next = self.next.entry(server).or_insert(now + self.every.scale(self.phase));
+        let may = self.allowed && now >= *next;
+        if may {
+            *next = now + self.every;
+            self.sent += 1;
+        } else {
+            self.withheld += 1;
+        }
+        may
+    }
+
+    /// The server is gone from the list: its row goes, too.
+    pub fn forget(&mut self, server: ServerId) {
+        self.next.remove(&server);
+    }
+
+    /// Probes sent since the start.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Probes that were asked for and not sent.
+    pub fn withheld(&self) -> u64 {
+        self.withheld
+    }
+}
