Fleet view: a core for membership on SWIM, without I/O or clock, settled in virtual time

Why: the operators' next priority is how processes behave together when parts fail; each first has to know who else is there. The daemon does not use it yet and `run` is unchanged. Change: crates/ashtide-fleet round the crate foca: lives by generation, leaving on purpose, one frame by version and tier, a budget, bounds, doubt in oneself after a stall. docs/design/membership.md has the options and the way not taken, docs/fleet.md what is measured and what is open. Seen while testing: in a join during 30% loss a member stayed suspected for good though all reached it. foca lets only the member that began a suspicion end it (handle_timer, ChangeSuspectToDown); others keep it where its news are lost. Now whoever suspects a member tells it so itself. And 30 members that join at once took 24 s; they ask two others for their views twice a second for their first 20 s. Tests: tests/settles.rs (partition 3+2, one-way and cut links, stalls, kills, restarts, a clock put back, leaving, join during loss), tests/datagrams.rs (proptest, reasons).

--- /dev/null
+++ b/crates/ashtide-fleet/src/frame.rs
@@ -0,0 +1,53 @@
+//! What is round each datagram: a version, and the tier it is meant for.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// Longest datagram, the frame included: a longer one voids the platform's run.
+pub const MAX_DATAGRAM: usize = 256;
+/// Bytes of the frame: the version, then the tier, the most significant byte first.
+pub(crate) const FRAME: usize = 5;
+/// The version spoken here; words of servers begin with other bytes.
+const VERSION: u8 = 0x41;
+
+/// Why a datagram is not heard. It has changed nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum Unheard {
+    /// Over [`MAX_DATAGRAM`] bytes, or too few for a frame.
+    #[error("a length that no datagram has")]
+    Length,
+    /// Another version's.
+    #[error("another version")]
+    Version,
+    /// Another tier's.
+    #[error("another tier")]
+    Tier,
+    /// Its inside cannot be read.
+    #[error("malformed")]
+    Malformed,
+    /// It says that this member itself has sent it.
+    #[error("of this member itself")]
+    Own,
+    /// Its sender is not known here, and there is no room for more.
+    #[error("no room for another member")]
+    Full,
+}
+
+pub(crate) fn wrap(tier: u32, inside: &[u8]) -> Bytes {
+    let mut all = BytesMut::with_capacity(FRAME + inside.len());
+    all.put_u8(VERSION);
+    all.put_u32(tier);
+    all.extend_from_slice(inside);
+    all.freeze()
+}
+
+pub(crate) fn unwrap(tier: u32, datagram: &[u8]) -> Result<&[u8], Unheard> {
+    if datagram.len() > MAX_DATAGRAM {
+        return Err(Unheard::Length);
+    }
+    let (frame, inside) = datagram.split_at_checked(FRAME).ok_or(Unheard::Length)?;
+    match frame {
+        [VERSION, rest @ ..] if rest == tier.to_be_bytes() => Ok(inside),
+        [VERSION, ..] => Err(Unheard::Tier),
+        _ => Err(Unheard::Version),
+    }
+}
--- /dev/null
+++ b/crates/ashtide-fleet/src/lib.rs
@@ -0,0 +1,37 @@
+//! Who of a tier of gateways is there: a view that each keeps for itself from datagrams of at most
+//! [`MAX_DATAGRAM`] bytes, which may be late, lost, repeated or foreign.
+//!
+//! The protocol is SWIM with suspicion (Das, Gupta and Motivala 2002), by the crate `foca`: one probe a period
+//! whatever the size, indirect probes through others, news on the back of all that is sent. What stands here
+//! round it: members and their generations, one frame that tells versions and tiers apart, a budget, doubt in
+//! oneself after a stall (after Lifeguard, Dadgar and others 2018), and what an operator is shown.
+//!
+//! [`Fleet`] knows no socket and no clock. It is told the time and what came in, and hands out what is to be sent:
+//!
+//! ```
+//! use std::time::Duration;
+//! use ashtide_fleet::{Fleet, Options, State};
+//!
+//! let address = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+//! let now = Duration::ZERO;
+//! let mut one = Fleet::new(Options::new(7, 2), address(1), 1, vec![], 1, now);
+//! let mut two = Fleet::new(Options::new(7, 2), address(2), 1, vec![address(1)], 2, now);
+//! two.fire(now);
+//! for _ in 0..4 {
+//!     while let Some((_, datagram)) = two.transmit() {
+//!         one.receive(now, &datagram).unwrap();
+//!     }
+//!     while let Some((_, datagram)) = one.transmit() {
+//!         two.receive(now, &datagram).unwrap();
+//!     }
+//! }
+//! assert_eq!(one.members().next().map(|row| row.state), Some(State::Alive));
+//! ```
+
+mod frame;
+mod member;
+mod view;
+
+pub use frame::{MAX_DATAGRAM, Unheard};
+pub use member::Member;
+pub use view::{Change, Figures, Fleet, MAX_MEMBERS, Options, Row, State};
--- /dev/null
+++ b/crates/ashtide-fleet/tests/settles.rs
@@ -0,0 +1,176 @@
+//! After any fault has ended, every view is the truth again within a bound; and nobody is held dead for ever.
+
+mod tier;
+
+use ashtide_fleet::{Change, State};
+use tier::{Tier, address, ms};
+
+fn settled(size: usize, seed: u64) -> Tier {
+    let mut tier = Tier::new(size, seed);
+    tier.settle(ms(30_000));
+    tier.run(ms(2_000));
+    tier.changes.clear();
+    tier
+}
+
+fn deaths(tier: &Tier) -> Vec<(usize, std::net::SocketAddr)> {
+    let dead = tier.changes.iter().filter_map(|&(_, by, change)| match change {
+        Change::Dead(member) => Some((by, member.address)),
+        _ => None,
+    });
+    dead.collect()
+}
+
+#[test]
+fn a_tier_finds_itself_by_a_seed_also_where_a_third_is_lost() {
+    for (size, loss) in [(2, 0.0), (9, 0.0), (30, 0.0), (9, 0.3)] {
+        let mut tier = Tier::new(size, 11);
+        tier.loss = loss;
+        let took = tier.settle(ms(30_000));
+        assert!(loss > 0.0 || took < ms(20_000), "{size} members took {took:?}");
+    }
+}
+
+#[test]
+fn a_killed_member_is_dead_to_all_and_alive_again_after_its_restart() {
+    for seed in 0..4 {
+        let mut tier = settled(9, seed);
+        tier.kill(4);
+        tier.settle(ms(20_000));
+        assert_eq!(deaths(&tier).len(), 8, "each sees one death");
+        tier.start(4, 1_030_000);
+        tier.settle(ms(20_000));
+        let false_deaths: u64 = tier.fleets.iter().flatten().map(|it| it.figures().false_deaths).sum();
+        assert_eq!(false_deaths, 0, "a restart is no false death");
+    }
+}
+
+#[test]
+fn a_member_that_restarts_before_it_is_missed_is_its_new_self() {
+    let mut tier = settled(7, 3);
+    tier.start(2, 1_010_000);
+    tier.settle(ms(20_000));
+    assert!(deaths(&tier).is_empty(), "{:?}", deaths(&tier));
+}
+
+#[test]
+fn a_member_whose_clock_was_put_back_is_heard_again() {
+    for seed in 0..3 {
+        let mut tier = settled(7, seed);
+        tier.kill(2);
+        tier.run(ms(700));
+        tier.start(2, 400_000);
+        tier.settle(ms(40_000));
+    }
+}
+
+#[test]
+fn two_parts_merge_when_a_partition_heals() {
+    for seed in 0..4 {
+        let mut tier = settled(5, seed);
+        tier.part(&[0, 1, 2], &[3, 4]);
+        tier.run(ms(20_000));
+        let held = |tier: &Tier, number: usize, other: usize| {
+            let rows = tier.fleets[number].as_ref().map(|it| it.members().collect::<Vec<_>>());
+            rows.unwrap_or_default()
+                .iter()
+                .find(|row| row.member.address == address(other))
+                .map(|row| row.state)
+        };
+        assert_eq!((held(&tier, 0, 3), held(&tier, 4, 1)), (Some(State::Dead), Some(State::Dead)));
+        assert_eq!(held(&tier, 3, 4), Some(State::Alive), "each part goes on");
+        tier.cut.clear();
+        tier.settle(ms(20_000));
+    }
+}
+
+#[test]
+fn a_link_that_is_cut_kills_nobody_one_way_or_both() {
+    for seed in 0..4 {
+        let mut tier = settled(7, seed);
+        tier.cut.insert((1, 5));
+        if seed % 2 == 0 {
+            tier.cut.insert((5, 1));
+        }
+        tier.run(ms(40_000));
+        assert!(deaths(&tier).is_empty(), "others reach both: {:?}", deaths(&tier));
+        tier.settle(ms(3_000));
+    }
+}
+
+#[test]
+fn a_member_that_stalls_accuses_nobody_and_is_back_soon() {
+    for seed in 0..4 {
+        let mut tier = settled(7, seed);
+        tier.stalled.insert(3, Vec::new());
+        tier.run(ms(3_000));
+        tier.wake(3);
+        tier.settle(ms(12_000));
+        let by_it: Vec<_> = deaths(&tier).into_iter().filter(|&(by, _)| by == 3).collect();
+        assert!(by_it.is_empty(), "{by_it:?}");
+        let stalls = tier.fleets[3].as_ref().map(|it| it.figures().stalls);
+        assert_eq!(stalls, Some(1));
+    }
+}
+
+#[test]
+fn a_long_stall_ends_in_the_same_view_for_all() {
+    let mut tier = settled(7, 1);
+    tier.stalled.insert(3, Vec::new());
+    tier.run(ms(30_000));
+    assert_eq!(deaths(&tier).iter().filter(|it| it.1 == address(3)).count(), 6, "it is missed");
+    tier.wake(3);
+    tier.settle(ms(20_000));
+    assert!(deaths(&tier).iter().all(|&(by, _)| by != 3), "it accuses nobody");
+}
+
+#[test]
+fn one_that_leaves_is_not_missed() {
+    let mut tier = settled(7, 5);
+    let now = tier.now;
+    tier.fleets[2].as_mut().expect("there").leave(now);
+    tier.run(ms(200));
+    tier.kill(2);
+    tier.settle(ms(10_000));
+    tier.run(ms(5_000));
+    assert!(deaths(&tier).is_empty(), "{:?}", deaths(&tier));
+    for number in [0, 1, 3, 4, 5, 6] {
+        let fleet = tier.fleets[number].as_ref().expect("there");
+        let row = fleet.members().find(|row| row.member.address == address(2)).expect("known");
+        assert_eq!(row.state, State::Left, "by {number}");
+    }
+}
+
+#[test]
+fn a_join_during_loss_settles_and_no_false_death_stays() {
+    for seed in 0..3 {
+        let mut tier = settled(7, seed);
+        (tier.loss, tier.repeat) = (0.3, 0.1);
+        tier.start(7, 1_050_000);
+        tier.run(ms(30_000));
+        tier.loss = 0.0;
+        tier.settle(ms(15_000));
+    }
+}
+
+#[test]
+fn what_a_member_sends_does_not_grow_with_the_tier() {
+    let rate = |size: usize| {
+        let mut tier = settled(size, 2);
+        let sent = |tier: &Tier| {
+            tier.fleets
+                .iter()
+                .flatten()
+                .map(|it| it.figures().sent)
+                .fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
+        };
+        let before = sent(&tier);
+        tier.run(ms(10_000));
+        let after = sent(&tier);
+        let a_second = |total: u64| total as f64 / size as f64 / 10.0;
+        (a_second(after.0 - before.0), a_second(after.1 - before.1))
+    };
+    let (small, large) = (rate(10), rate(60));
+    assert!(large.0 < 16.0 && large.0 < 1.5 * small.0, "datagrams a second: {small:?}, {large:?}");
+    assert!(large.1 < 4096.0, "bytes a second: {large:?}");
+}
--- /dev/null
+++ b/crates/ashtide-fleet/tests/tier/mod.rs
@@ -0,0 +1,198 @@
+//! A tier of cores in virtual time, with a network that delays, loses, repeats and parts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ashtide_fleet::{Change, Fleet, Options, State};
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const TIER: u32 = 0x7157_1de0;
+
+pub fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7946))
+}
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub struct Tier {
+    pub now: Duration,
+    pub fleets: Vec<Option<Fleet>>,
+    /// Which directions lose everything.
+    pub cut: BTreeSet<(usize, usize)>,
+    pub loss: f64,
+    pub repeat: f64,
+    /// Members that stand still, and what has come for them meanwhile.
+    pub stalled: BTreeMap<usize, Vec<Bytes>>,
+    pub changes: Vec<(Duration, usize, Change)>,
+    wire: BTreeMap<(Duration, u64), (usize, Bytes)>,
+    number: u64,
+    rng: ChaCha8Rng,
+    size: usize,
+}
+
+impl Tier {
+    pub fn new(size: usize, seed: u64) -> Self {
+        let mut tier = Self {
+            now: ms(0),
+            fleets: Vec::new(),
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            repeat: 0.0,
+            stalled: BTreeMap::new(),
+            changes: Vec::new(),
+            wire: BTreeMap::new(),
+            number: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            size,
+        };
+        for number in 0..size {
+            tier.fleets.push(None);
+            tier.start(number, 1_000_000);
+        }
+        tier
+    }
+
+    /// A process starts at this number's address, knowing one seed.
+    pub fn start(&mut self, number: usize, unix_ms: u64) {
+        if self.fleets.len() <= number {
+            self.fleets.resize_with(number + 1, || None);
+        }
+        let seeds = vec![address(0), address(1)];
+        let options = Options::new(TIER, self.size as u32);
+        let fleet = Fleet::new(options, address(number), unix_ms, seeds, self.rng.random(), self.now);
+        self.fleets[number] = Some(fleet);
+    }
+
+    pub fn kill(&mut self, number: usize) {
+        self.fleets[number] = None;
+    }
+
+    pub fn part(&mut self, one: &[usize], other: &[usize]) {
+        for &a in one {
+            for &b in other {
+                self.cut.extend([(a, b), (b, a)]);
+            }
+        }
+    }
+
+    fn send(&mut self, number: usize) {
+        let Some(fleet) = &mut self.fleets[number] else { return };
+        while let Some((to, datagram)) = fleet.transmit() {
+            assert!(datagram.len() <= 256, "{} bytes", datagram.len());
+            let std::net::IpAddr::V4(ip) = to.ip() else { continue };
+            let to = usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3]);
+            let copies = 1 + usize::from(self.rng.random_bool(self.repeat));
+            for _ in 0..copies {
+                if self.cut.contains(&(number, to)) || self.rng.random_bool(self.loss) {
+                    continue;
+                }
+                self.number += 1;
+                let at = self.now + Duration::from_micros(self.rng.random_range(200..40_000));
+                self.wire.insert((at, self.number), (to, datagram.clone()));
+            }
+        }
+    }
+
+    fn note(&mut self, number: usize) {
+        let Some(fleet) = &mut self.fleets[number] else { return };
+        while let Some(change) = fleet.change() {
+            self.changes.push((self.now, number, change));
+        }
+    }
+
+    /// A member goes on after a stall: its timers come late, and what has come lies unread.
+    pub fn wake(&mut self, number: usize) {
+        let unread = self.stalled.remove(&number).unwrap_or_default();
+        if let Some(fleet) = &mut self.fleets[number] {
+            fleet.fire(self.now);
+            for datagram in unread {
+                let _ = fleet.receive(self.now, &datagram);
+            }
+        }
+        self.send(number);
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += ms(5);
+            while let Some(entry) = self.wire.first_entry().filter(|it| it.key().0 <= self.now) {
+                let (to, datagram) = entry.remove();
+                if let Some(unread) = self.stalled.get_mut(&to) {
+                    // As much as a socket's buffer holds.
+                    if unread.len() < 200 {
+                        unread.push(datagram);
+                    }
+                } else if let Some(fleet) = self.fleets.get_mut(to).and_then(Option::as_mut) {
+                    let _ = fleet.receive(self.now, &datagram);
+                    self.send(to);
+                }
+            }
+            for number in 0..self.fleets.len() {
+                if self.stalled.contains_key(&number) {
+                    continue;
+                }
+                let now = self.now;
+                if let Some(fleet) =
+                    self.fleets[number].as_mut().filter(|it| it.due().is_some_and(|at| at <= now))
+                {
+                    fleet.fire(now);
+                    self.send(number);
+                }
+                self.note(number);
+            }
+        }
+    }
+
+    pub fn live(&self) -> Vec<usize> {
+        (0..self.fleets.len()).filter(|&number| self.fleets[number].is_some()).collect()
+    }
+
+    /// Who lacks whom, or holds one alive that is not: empty where all views are the truth.
+    pub fn wrong(&self) -> Vec<(usize, SocketAddr, Option<State>)> {
+        let live: BTreeMap<SocketAddr, u64> = self
+            .live()
+            .into_iter()
+            .filter_map(|number| {
+                self.fleets[number].as_ref().map(|it| (address(number), it.own().generation))
+            })
+            .collect();
+        let mut wrong = Vec::new();
+        for number in self.live() {
+            let Some(fleet) = &self.fleets[number] else { continue };
+            let rows: BTreeMap<_, _> = fleet.members().map(|row| (row.member.address, row)).collect();
+            for (&at, &generation) in live.iter().filter(|it| *it.0 != address(number)) {
+                let row = rows.get(&at);
+                if !row.is_some_and(|row| row.state == State::Alive && row.member.generation == generation) {
+                    wrong.push((number, at, row.map(|row| row.state)));
+                }
+            }
+            let ghosts = rows.values().filter(|row| {
+                !live.contains_key(&row.member.address) && matches!(row.state, State::Alive | State::Suspect)
+            });
+            wrong.extend(ghosts.map(|row| (number, row.member.address, Some(row.state))));
+        }
+        wrong
+    }
+
+    /// Runs until all views are the truth; how long that took.
+    pub fn settle(&mut self, within: Duration) -> Duration {
+        let start = self.now;
+        while !self.wrong().is_empty() {
+            let wrong = self.wrong();
+            assert!(
+                self.now - start < within,
+                "not settled in {within:?}: {} wrong, {:?}",
+                wrong.len(),
+                &wrong[..wrong.len().min(6)]
+            );
+            self.run(ms(100));
+        }
+        self.now - start
+    }
+}
