Rehearsal and fleet tests: one set-up and one rate each, where two stood

On rereading the change: the scenarios of two processes set up the same folder and listener twice, and the rate of datagrams was reckoned in a test and in the measuring program.

--- a/crates/ashtide-fleet/examples/settle.rs
+++ b/crates/ashtide-fleet/examples/settle.rs
@@ -18,18 +18,8 @@
         let seconds = |time: std::time::Duration| format!("{:.1} s", time.as_secs_f64());
         let join = seconds(tier.settle(long));
         tier.run(ms(3_000));
-        let sent = |tier: &Tier| {
-            tier.fleets
-                .iter()
-                .flatten()
-                .map(|it| it.figures().sent)
-                .fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
-        };
-        let before = sent(&tier);
-        tier.run(ms(10_000));
-        let after = sent(&tier);
-        let a_second = |total: u64| total as f64 / size as f64 / 10.0;
-        let price = format!("{:.1}, {:.0}", a_second(after.0 - before.0), a_second(after.1 - before.1));
+        let (datagrams, bytes) = tier.sent_a_second(10);
+        let price = format!("{datagrams:.1}, {bytes:.0}");
         tier.kill(size / 2);
         let kill = seconds(tier.settle(long));
         tier.start(size / 2, 1_100_000);
--- a/crates/ashtide-fleet/tests/settles.rs
+++ b/crates/ashtide-fleet/tests/settles.rs
@@ -157,18 +157,7 @@
 fn what_a_member_sends_does_not_grow_with_the_tier() {
     let rate = |size: usize| {
         let mut tier = settled(size, 2);
-        let sent = |tier: &Tier| {
-            tier.fleets
-                .iter()
-                .flatten()
-                .map(|it| it.figures().sent)
-                .fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
-        };
-        let before = sent(&tier);
-        tier.run(ms(10_000));
-        let after = sent(&tier);
-        let a_second = |total: u64| total as f64 / size as f64 / 10.0;
-        (a_second(after.0 - before.0), a_second(after.1 - before.1))
+        tier.sent_a_second(10)
     };
     let (small, large) = (rate(10), rate(60));
     assert!(large.0 < 16.0 && large.0 < 1.5 * small.0, "datagrams a second: {small:?}, {large:?}");
--- a/crates/ashtide-fleet/tests/tier/mod.rs
+++ b/crates/ashtide-fleet/tests/tier/mod.rs
@@ -149,6 +149,19 @@
         }
     }
 
+    /// Datagrams, and their bytes, that a member sends a second, over so many.
+    pub fn sent_a_second(&mut self, seconds: u64) -> (f64, f64) {
+        let sent = |tier: &Self| {
+            let each = tier.fleets.iter().flatten().map(|it| it.figures().sent);
+            each.fold((0, 0), |sum, sent| (sum.0 + sent.0, sum.1 + sent.1))
+        };
+        let before = sent(self);
+        self.run(ms(1_000 * seconds));
+        let after = sent(self);
+        let a_second = |total: u64| total as f64 / self.live().len() as f64 / seconds as f64;
+        (a_second(after.0 - before.0), a_second(after.1 - before.1))
+    }
+
     pub fn live(&self) -> Vec<usize> {
         (0..self.fleets.len()).filter(|&number| self.fleets[number].is_some()).collect()
     }
--- a/crates/ashtide-rehearsal/src/scenarios.rs
+++ b/crates/ashtide-rehearsal/src/scenarios.rs
@@ -426,13 +426,9 @@
 async fn inheritance(program: &Path) -> Result<Checks, RehearsalError> {
     let mut checks = Checks::default();
     let fleet = Fleet::start(2).await?;
-    let listener = Arc::new(std::net::TcpListener::bind("127.0.0.1:0")?);
-    let at = listener.local_addr()?;
-    static PLAYED: AtomicU64 = AtomicU64::new(0);
-    let number = PLAYED.fetch_add(1, Ordering::Relaxed);
-    let folder = std::env::temp_dir().join(format!("ashtide-inherit-{}-{number}", std::process::id()));
-    std::fs::create_dir_all(&folder)?;
-    let options = Options { shared: Some(Shared { listener, folder: folder.clone() }), ..Options::default() };
+    let (shared, at) = one_balancer()?;
+    let folder = shared.folder.clone();
+    let options = Options { shared: Some(shared), ..Options::default() };
     let first = Daemon::start(program, &fleet, &options).await?;
     let mut lines = Vec::new();
     for number in 0..FEW as u64 {
@@ -578,19 +574,26 @@
     Ok(checks)
 }
 
-/// A new version beside the old: the listener is inherited, and the two meet in their folder.
-async fn upgrade(program: &Path) -> Result<Checks, RehearsalError> {
-    let mut checks = Checks::default();
-    let fleet = Fleet::start(2).await?;
-    let listener = Arc::new(std::net::TcpListener::bind("127.0.0.1:0")?);
-    let at = listener.local_addr()?;
+/// What the processes of one balancer share, and where its clients come.
+fn one_balancer() -> Result<(Shared, std::net::SocketAddr), RehearsalError> {
     static PLAYED: AtomicU64 = AtomicU64::new(0);
     let number = PLAYED.fetch_add(1, Ordering::Relaxed);
+    let listener = Arc::new(std::net::TcpListener::bind("127.0.0.1:0")?);
+    let at = listener.local_addr()?;
     let folder = std::env::temp_dir().join(format!("ashtide-shared-{}-{number}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
+    Ok((Shared { listener, folder }, at))
+}
+
+/// A new version beside the old: the listener is inherited, and the two meet in their folder.
+async fn upgrade(program: &Path) -> Result<Checks, RehearsalError> {
+    let mut checks = Checks::default();
+    let fleet = Fleet::start(2).await?;
+    let (shared, at) = one_balancer()?;
+    let folder = shared.folder.clone();
     // What a killed process leaves: a name that nobody listens at.
     drop(std::os::unix::net::UnixListener::bind(folder.join("ashtide.shared.1.sock"))?);
-    let options = Options { shared: Some(Shared { listener, folder: folder.clone() }), ..Options::default() };
+    let options = Options { shared: Some(shared), ..Options::default() };
 
     let first = Daemon::start(program, &fleet, &options).await?;
     let mut lines = Vec::new();
