One place for handing a connection on, for its lookups and for what is told of it

On rereading the change: `relay` in session.rs answered a hand-over before the match that ends it, which left two arms dead and built `Standing` twice; `Session::hand` does it in one place now. Counts of probes were converted on their way to gauges of another width; the fleet view kept its tier twice; `Post::tell` copied fields that it does not change.

--- a/crates/ashtide-fleet/src/view.rs
+++ b/crates/ashtide-fleet/src/view.rs
@@ -134,7 +134,6 @@
 /// One member's view of its tier.
 pub struct Fleet {
     foca: Foca<Member, PostcardCodec, ChaCha8Rng, NoCustomBroadcast>,
-    options: Options,
     base: Config,
     seeds: Vec<SocketAddr>,
     rng: ChaCha8Rng,
@@ -271,7 +270,7 @@
         let budget = (f64::from(options.messages), f64::from(options.burst));
         let desk =
             Desk { now, tier: options.tier, allowance: budget.1, budget, reckoned: now, ..Desk::default() };
-        Self { foca, options, base, seeds, rng, join: (now, 0), began: now, reminded: now, left: false, desk }
+        Self { foca, base, seeds, rng, join: (now, 0), began: now, reminded: now, left: false, desk }
     }
 
     /// This member, in its present life.
@@ -290,9 +289,8 @@
     }
 
     fn take(&mut self, datagram: &[u8]) -> Result<(), Unheard> {
-        let inside = unwrap(self.options.tier, datagram)?;
-        let header = PostcardCodec.decode_header(inside).map_err(|_| Unheard::Malformed)?;
-        let header: foca::Header<Member> = header;
+        let inside = unwrap(self.desk.tier, datagram)?;
+        let header: Header<Member> = PostcardCodec.decode_header(inside).map_err(|_| Unheard::Malformed)?;
         let own = self.own();
         if header.src.address == own.address {
             return Err(Unheard::Own);
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -438,7 +438,7 @@
     }
 
     /// Probes sent since the start, and those asked for and withheld.
-    pub fn probes(&self) -> (u64, u64) {
+    pub fn probes(&self) -> (usize, usize) {
         (self.probing.sent(), self.probing.withheld())
     }
 
@@ -451,7 +451,8 @@
     /// on now, and what comes up later once it does.
     pub fn hand_over(&mut self, now: Time, over: Span, last: Span, out: &mut Vec<Effect>) {
         self.handing = true;
-        (self.leaving, _) = (Some(now + over), self.schedule(now + last, Due::Leave));
+        self.leaving = Some(now + over);
+        self.schedule(now + last, Due::Leave);
         let standing: Vec<RequestId> = self.standing().map(|(id, _)| id).collect();
         for id in standing {
             self.hand(id, out);
@@ -460,8 +461,7 @@
     }
 
     fn hand(&mut self, id: RequestId, out: &mut Vec<Effect>) {
-        let open = self.records.get(&id).and_then(|r| r.out.as_ref()).filter(|open| open.established);
-        if let Some((attempt, server)) = open.map(|open| (open.attempt, open.server)) {
+        if let Some((attempt, server)) = self.stands(id) {
             out.push(Effect::Hand { id, server });
             self.end(id, attempt, Outcome::Cancelled);
         }
@@ -563,6 +563,12 @@
         })
     }
 
+    /// The attempt that a standing connection came of, and its server.
+    fn stands(&self, id: RequestId) -> Option<(u32, ServerId)> {
+        let open = self.records.get(&id)?.out.as_ref().filter(|open| open.established)?;
+        Some((open.attempt, open.server))
+    }
+
     /// Moves these one after the other, over this time from then on.
     fn pace_moves(&mut self, from: Time, over: Span, ids: &[RequestId]) {
         for (at, &id) in ids.iter().enumerate() {
@@ -572,8 +578,7 @@
     }
 
     fn send_away(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<Effect>) {
-        let open = self.records.get(&id).and_then(|r| r.out.as_ref());
-        if let Some(attempt) = open.filter(|open| open.established).map(|open| open.attempt) {
+        if let Some((attempt, _)) = self.stands(id) {
             out.push(Effect::Move { id });
             self.end(id, attempt, outcome);
         }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -165,8 +165,8 @@
         figures.set(Gauge::Known, self.listed.len());
         figures.set(Gauge::Skipped, self.engine.avoided(now));
         let (sent, withheld) = self.engine.probes();
-        figures.set(Gauge::Probes, usize::try_from(sent).unwrap_or(usize::MAX));
-        figures.set(Gauge::Withheld, usize::try_from(withheld).unwrap_or(usize::MAX));
+        figures.set(Gauge::Probes, sent);
+        figures.set(Gauge::Withheld, withheld);
         let shares = self.listed.keys().filter_map(|name| {
             let server = self.names.servers.find(name).map(ServerId)?;
             let share = Share { open: self.engine.open_on(server), budget: self.engine.allowance(server) };
@@ -191,28 +191,18 @@
                     None => self.effects.push(Effect::Answer { id, answer: Answer::Failed }),
                 }
             }
-            Report::Existing(id, ask, server, port) => {
-                self.ports.insert(id, port);
-                let server = self.names.servers.find(&server).map(ServerId);
-                match (self.request(id, &ask), server) {
-                    (Some(request), Some(server)) => {
-                        let timeout = request.time_left;
-                        self.engine.existing(now, request, server, &mut self.effects);
-                        self.effects.push(Effect::Attempt { id, attempt: 0, server, timeout });
-                    }
-                    _ => self.effects.push(Effect::Answer { id, answer: Answer::Failed }),
+            Report::Existing(id, ask, server, port) => match self.standing(id, &ask, &server, port) {
+                Some((request, server)) => {
+                    let timeout = request.time_left;
+                    self.engine.existing(now, request, server, &mut self.effects);
+                    self.effects.push(Effect::Attempt { id, attempt: 0, server, timeout });
                 }
-            }
-            Report::Adopted(id, ask, server, port) => {
-                self.ports.insert(id, port);
-                let server = self.names.servers.find(&server).map(ServerId);
-                match (self.request(id, &ask), server) {
-                    (Some(request), Some(server)) => {
-                        self.engine.adopt(now, request, server, &mut self.effects);
-                    }
-                    _ => self.effects.push(Effect::Move { id }),
-                }
-            }
+                None => self.effects.push(Effect::Answer { id, answer: Answer::Failed }),
+            },
+            Report::Adopted(id, ask, server, port) => match self.standing(id, &ask, &server, port) {
+                Some((request, server)) => self.engine.adopt(now, request, server, &mut self.effects),
+                None => self.effects.push(Effect::Move { id }),
+            },
             Report::Up(id, attempt) => self.engine.established(now, id, attempt, out),
             Report::Ended(id, attempt, outcome) => {
                 if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
@@ -315,6 +305,19 @@
         }
     }
 
+    /// Notes the port of a connection that stood before; what it is and where, if both are known here.
+    fn standing(
+        &mut self,
+        id: RequestId,
+        ask: &Ask,
+        server: &str,
+        port: Port,
+    ) -> Option<(Request, ServerId)> {
+        self.ports.insert(id, port);
+        let server = self.names.servers.find(server).map(ServerId)?;
+        Some((self.request(id, ask)?, server))
+    }
+
     fn request(&mut self, id: RequestId, ask: &Ask) -> Option<Request> {
         Some(Request {
             id,
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -179,9 +179,8 @@
         }
         let sockets = self.own + self.lobby.sockets();
         self.telling.send_modify(|telling| {
-            let (started, adopts) = (telling.state.started, telling.state.adopts);
             let cordons = self.kept.cordons.clone();
-            telling.state = State { started, ready, adopts, begun, sockets, shares, cordons };
+            telling.state = State { ready, begun, sockets, shares, cordons, ..telling.state };
         });
     }
 
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -190,28 +190,6 @@
         drop(permit);
     }
 
-    /// Passes a connection to the successor; its client, if there is none or it will not.
-    async fn hand(&self, standing: Standing, client: Peer, server: Peer) -> Result<(), Option<Peer>> {
-        let (Ok((client, client_said)), Ok((server, server_said))) =
-            (client.into_parts(), server.into_parts())
-        else {
-            return Err(None);
-        };
-        let standing = Standing {
-            to_client: (standing.to_client.0, server_said),
-            to_server: (standing.to_server.0, client_said),
-            ..standing
-        };
-        let heir = self.heir.borrow().clone();
-        if let (Some(heir), Some(datagram)) = (heir, standing.datagram()) {
-            if heir.pass(&datagram, [client.as_fd(), server.as_fd()]).await.is_ok() {
-                return Ok(());
-            }
-        }
-        drop(server);
-        Err(TcpStream::from_std(client).ok().map(Peer::new))
-    }
-
     /// Serves one client. Its place is kept until it has a session or has gone.
     pub async fn meet(self, client: TcpStream, mut place: Place) {
         let (mut client, mut side) = (Peer::new(client), ClientSide::default());
@@ -522,25 +500,11 @@
                     Some((_, Command::Move)) | None => break End::Moved,
                     // The server has said its last: there is nothing to hand on.
                     Some((_, Command::Hand(_))) if last => break End::Server(side.end().into()),
-                    Some((_, Command::Hand(server))) => break End::Handed(server),
+                    Some((_, Command::Hand(name))) => return self.hand(name, server, to_client, to_server).await,
                     Some(_) => {}
                 },
             }
         };
-        if let End::Handed(name) = end {
-            let Self { open, client, front, claim, .. } = self;
-            drop(claim);
-            let standing = Standing {
-                server: name,
-                open: open.raw,
-                to_client: (to_client.clone(), Bytes::new()),
-                to_server: (to_server, Bytes::new()),
-            };
-            if let Err(Some(client)) = front.hand(standing, client, server).await {
-                client.finish(&rest(to_client, MOVE)).await;
-            }
-            return;
-        }
         // The server's side is closed before anyone else may have the id, and before the core hears.
         let outcome = match end {
             End::Client(true) => {
@@ -555,7 +519,7 @@
                 drop(server);
                 Some(outcome)
             }
-            End::Moved | End::Handed(_) => {
+            End::Moved => {
                 drop(server);
                 None
             }
@@ -571,7 +535,35 @@
                 self.client.finish(&rest(to_client, MOVE)).await;
             }
             End::Server(_) => self.client.finish(&rest(to_client, b"")).await,
-            End::Moved | End::Handed(_) => self.client.finish(&rest(to_client, MOVE)).await,
+            End::Moved => self.client.finish(&rest(to_client, MOVE)).await,
+        }
+    }
+
+    /// Passes the connection to the successor as it is; where there is none or it will not, the client is
+    /// told to move.
+    async fn hand(self, name: String, server: Peer, to_client: Bytes, to_server: Bytes) {
+        let Self { open, client, front, claim, .. } = self;
+        drop(claim);
+        let (Ok((client, client_said)), Ok((server, server_said))) =
+            (client.into_parts(), server.into_parts())
+        else {
+            return;
+        };
+        let standing = Standing {
+            server: name,
+            open: open.raw,
+            to_client: (to_client.clone(), server_said),
+            to_server: (to_server, client_said),
+        };
+        let heir = front.heir.borrow().clone();
+        if let (Some(heir), Some(datagram)) = (heir, standing.datagram()) {
+            if heir.pass(&datagram, [client.as_fd(), server.as_fd()]).await.is_ok() {
+                return;
+            }
+        }
+        drop(server);
+        if let Ok(client) = TcpStream::from_std(client) {
+            Peer::new(client).finish(&rest(to_client, MOVE)).await;
         }
     }
 }
@@ -590,8 +582,6 @@
     Client(bool),
     Server(Outcome),
     Moved,
-    /// To the successor, from this server.
-    Handed(String),
 }
 
 enum Tried {
--- a/src/probing.rs
+++ b/src/probing.rs
@@ -16,8 +16,8 @@
     every: Span,
     phase: f64,
     next: BTreeMap<ServerId, Time>,
-    sent: u64,
-    withheld: u64,
+    sent: usize,
+    withheld: usize,
 }
 
 impl Probing {
@@ -47,12 +47,12 @@
     }
 
     /// Probes sent since the start.
-    pub fn sent(&self) -> u64 {
+    pub fn sent(&self) -> usize {
         self.sent
     }
 
     /// Probes that were asked for and not sent.
-    pub fn withheld(&self) -> u64 {
+    pub fn withheld(&self) -> usize {
         self.withheld
     }
 }
