The first byte of an attempt is decided when it is written, not when it is chosen

Cause: a front connected, and wrote the request the moment the connection was up, whatever had happened since the attempt was chosen: its server told to drain, the list no longer vouched for, a repeat's window over (src/net/session.rs, `dial`). And whether a session saw its client's end or the core's command first was a matter of luck (`select!` in `run` and `attempt`, unbiased).

Change: a connection that has come up is reported (`Report::Connected`), and nothing is written before the core's `Begin` (`Engine::may_begin`, the one place). The client goes before all else, and the sockets are looked at once more right before the first byte. `d` tells what is left by then. What counts as leaving is written down at `watch`. A server that reads nothing is noticed from the line taken, not from the line written. The other side of a connection that ends is shut down and read on within bounds before it is closed, as a reset takes along the last line. A client that has asked `PING` and rests is told `BUSY` at its end: its request may be on the way. At a stop all that rest are waited for, not eight at a time; those in the accept queue are taken in before the listener closes; SIGTERM counts from when it came, also while an older process is met.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -264,6 +264,12 @@
         self.known(server) && self.rung(now, &Pending::default(), self.server(server)) > 0
     }
 
+    /// Whether the attempt that is out may begin now: a repeat's window may have ended since it was chosen.
+    pub fn may_begin(&self, now: Time, id: RequestId) -> bool {
+        let allowed = |r: &Pending| r.out.as_ref().is_some_and(|out| self.may_get(now, r, out.server));
+        self.requests.get(&id).is_some_and(allowed)
+    }
+
     // ---- The list -------------------------------------------------------------------------
 
     fn on_list(&mut self, now: Time, news: ListNews, entries: Vec<Listing>) {
@@ -301,10 +307,8 @@
         let known = self.servers[index].as_ref().map(|s| s.listing.started);
         let (fresh, phase) = (known != Some(entry.started) && entry.started.is_some(), self.rng.random());
         let server = self.servers[index].get_or_insert_default();
-        server.listing = entry;
-        if !(server.listing.size.is_finite() && server.listing.size > 0.0) {
-            server.listing.size = 1.0;
-        }
+        let size = Some(entry.size).filter(|size| size.is_finite() && *size > 0.0).unwrap_or(1.0);
+        server.listing = Listing { size, ..entry };
         if fresh {
             server.begin_anew(now, server.listing.started, phase);
         }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -464,6 +464,24 @@
         self.run(now, Event::Existing { request, server }, out);
     }
 
+    /// Whether an attempt whose connection has come up may write its first byte now. This is where a send is
+    /// decided for good: since it was chosen its server may have been told to drain, the list may no longer be
+    /// vouched for, and a repeat's window may have ended. False where the attempt is over, here or before: its
+    /// front has been told to close it.
+    pub fn may_begin(&mut self, now: Time, id: RequestId, attempt: u32, out: &mut Vec<Effect>) -> bool {
+        let Some(server) = self.out(id, attempt).map(|open| open.server) else { return false };
+        let vouched = !self.unvouched && self.vouched_until.is_none_or(|until| now < until);
+        let allowed = vouched && self.module.may_begin(now, id);
+        if allowed && self.ready(server) {
+            return true;
+        }
+        out.push(Effect::Close { id, attempt });
+        // Another server may take what this one may not; what none may have now is answered.
+        self.end(id, attempt, if allowed { Outcome::ConnectError } else { Outcome::Ignored });
+        self.drain(now, out);
+        false
+    }
+
     /// An attempt's connection stands: the client may be served with it. False where the attempt is over here:
     /// then its front has been told to close it.
     pub fn established(&mut self, now: Time, id: RequestId, attempt: u32, out: &mut Vec<Effect>) -> bool {
--- a/src/main.rs
+++ b/src/main.rs
@@ -26,6 +26,7 @@
 use command::{Arguments, Files, Todo};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 use tracing::{error, info};
 
 /// How long the fleet view may take to say that this gateway leaves.
@@ -78,14 +79,16 @@
     work: Option<work::Settings>,
     quota: Option<(PathBuf, quota::Settings, Vec<Allowance>)>,
 ) -> Result<(), Box<dyn std::error::Error>> {
-    // Both before anything listens: without a handler, either ends the process on the spot.
+    // Both before anything listens: without a handler, either ends the process on the spot. When it was told to
+    // stop counts from then on, as it may still be meeting an older process.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let told_to_stop = tokio::spawn(async move { terminate.recv().await.map(|()| Instant::now()) });
     let listener = match config.inherited {
         Some(number) => socket::adopt(number).map_err(|e| format!("ROUTER_INHERITED_FD: '{number}': {e}"))?,
         None => socket::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?,
     };
     let started = handover::unix_micros();
-    let mut terminate = signal(SignalKind::terminate())?;
-    let hangup = signal(SignalKind::hangup())?;
     // One call asked for while another runs: the queue's one place says so.
     let (subscribe, subscriptions) = mpsc::channel(1);
     let others = fronts.quic.as_ref().map_or(0, |quic| quic.paths);
@@ -157,7 +160,7 @@
     if let Some(inbox) = inbox {
         tokio::spawn(listen::adopt(inbox, front.clone()));
     }
-    tokio::spawn(listen::serve(listener, front, accepting));
+    tokio::spawn(listen::serve(listener, front, accepting, core.closing()));
     if let (Some(met), Some(place)) = (met, place.clone()) {
         tokio::spawn(handover::run(met, telling, lobby, accepts.clone(), handle.clone(), place, heirs));
     }
@@ -182,7 +185,8 @@
     }
     let grace = config.grace;
     tokio::spawn(async move {
-        if terminate.recv().await.is_some() {
+        if let Ok(Some(told)) = told_to_stop.await {
+            let grace = grace.saturating_sub(told.elapsed());
             info!("ashtide: asked to stop, leaving within {} ms", grace.as_millis());
             stop.send_replace(true);
             handle.tell(Report::Leave(grace)).await;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -81,6 +81,8 @@
     max_retry_after: Span,
     /// No exit before the first; exit at the second whatever is left.
     leaving: Option<(Instant, Instant)>,
+    /// Whether only what has been said is still written, and nobody else is to be taken in.
+    closing: watch::Sender<bool>,
 }
 
 impl Core {
@@ -132,6 +134,7 @@
             full: None,
             max_retry_after,
             leaving: None,
+            closing: watch::Sender::new(false),
         };
         Ok((core, handle, office))
     }
@@ -154,6 +157,11 @@
         self.fleet.subscribe()
     }
 
+    /// Whether the process is about to end, after all that wait to be accepted.
+    pub fn closing(&self) -> watch::Receiver<bool> {
+        self.closing.subscribe()
+    }
+
     /// Serves until the process is to end.
     pub async fn run(mut self, known: Option<News>) {
         let out: Vec<String> = self.post.cordons().all_out().map(str::to_owned).collect();
@@ -180,6 +188,7 @@
                     // Whatever is still open has its answer, also where the wheel comes late.
                     self.fire(Due::Leave);
                     self.carry_out();
+                    self.closing.send_replace(true);
                     // What has just been answered still has to reach its clients, and what is passed on its
                     // successor.
                     self.flush().await;
@@ -302,6 +311,11 @@
                 Some((request, server)) => self.engine.adopt(now, request, server, &mut self.effects),
                 None => self.effects.push(Effect::Move { id }),
             },
+            Report::Connected(id, attempt) => {
+                if self.engine.may_begin(now, id, attempt, out) {
+                    self.command(id, Command::Begin { attempt });
+                }
+            }
             Report::Up(id, attempt) => {
                 if self.engine.established(now, id, attempt, out) {
                     self.command(id, Command::Pass { attempt });
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use super::log::Limited;
@@ -19,21 +19,30 @@
 static PASSED: Limited = Limited::new("handover");
 
 /// Accepts for as long as `accepting` says, whoever comes; the lobby decides who may stay. What is not
-/// accepted waits in the listener's queue for whoever shares it.
-pub async fn serve(listener: TcpListener, front: Front, mut accepting: watch::Receiver<bool>) {
+/// accepted waits in the listener's queue for whoever shares it. Once the process is `closing`, all that wait in
+/// the queue are taken in and the listener is closed: who comes later is refused, and not taken and dropped.
+pub async fn serve(
+    listener: TcpListener,
+    front: Front,
+    mut accepting: watch::Receiver<bool>,
+    mut closing: watch::Receiver<bool>,
+) {
+    let take_in = |client: TcpStream| {
+        let (place, crowded) = front.lobby.enter();
+        tokio::spawn(front.clone().meet(client, place));
+        crowded
+    };
     let mut row = 0;
     loop {
-        if accepting.wait_for(|&accepting| accepting).await.is_err() {
-            return;
-        }
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            biased;
+            _ = closing.wait_for(|&closing| closing) => break,
             Ok(()) = accepting.changed() => continue,
+            accepted = listener.accept(), if *accepting.borrow() => accepted,
         };
         match accepted {
             Ok((client, _)) => {
-                let (place, crowded) = front.lobby.enter();
-                tokio::spawn(front.clone().meet(client, place));
+                let crowded = take_in(client);
                 row += 1;
                 if crowded || row >= IN_A_ROW {
                     row = 0;
@@ -46,6 +55,16 @@
             }
         }
     }
+    // Of the socket itself, as the runtime may not have heard yet of those that wait. A queue that is the
+    // successor's is left to it.
+    let Ok(listener) = listener.into_std() else { return };
+    while let Some(Ok((client, _))) = accepting.borrow().then(|| listener.accept()) {
+        if client.set_nonblocking(true).is_ok()
+            && let Ok(client) = TcpStream::from_std(client)
+        {
+            take_in(client);
+        }
+    }
 }
 
 /// Takes over what an older process passes on, for as long as the process runs.
--- a/src/net/quic.rs
+++ b/src/net/quic.rs
@@ -518,8 +518,9 @@
                     self.core.count(Count::Tries, &self.config.class);
                 }
             }
-            // A packet of the server has gone to its client already: QUIC's own handshake goes on.
-            Command::Pass { .. } => {}
+            // No connection comes up before the first packet, and a packet of the server has gone to its client
+            // already: QUIC's own handshake goes on.
+            Command::Begin { .. } | Command::Pass { .. } => {}
             Command::Close { attempt } => {
                 if flow.attempt() == Some(attempt) {
                     flow.stage = Stage::Waiting;
--- a/src/net/report.rs
+++ b/src/net/report.rs
@@ -56,6 +56,11 @@
         /// Its number.
         attempt: u32,
     },
+    /// The attempt's connection may be used: its first byte may be written, at once or not at all.
+    Begin {
+        /// Its number.
+        attempt: u32,
+    },
     /// The attempt's connection counts as standing: its line may go to the client.
     Pass {
         /// Its number.
@@ -81,6 +86,9 @@
     Existing(RequestId, Ask, String, Port),
     /// A connection that stands at the named server, taken over from an older process.
     Adopted(RequestId, Ask, String, Port),
+    /// An attempt's connection has come up; the front writes nothing before `Begin`, and `Close` comes where it
+    /// may not, as much may have changed since the attempt was chosen.
+    Connected(RequestId, u32),
     /// An attempt's connection stands; the front waits for `Pass` or `Close`, as the core may just have given
     /// the attempt up.
     Up(RequestId, u32),
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -6,6 +6,7 @@
 //! where a ring would wrap; no second buffer stands behind it.
 
 use std::io::{Cursor, Read, Write};
+use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::FramedRead;
 
@@ -31,7 +33,7 @@
 use crate::engine::Answer;
 use crate::figures::{Closed, Count};
 use crate::handover::Standing;
-use crate::interface::{Outcome, RequestId, Span};
+use crate::interface::{Outcome, RequestId};
 use crate::open_ids::{Claim, OpenIds};
 
 /// From its arrival on, a client has so long to say what it wants, whatever it says before: a true one
@@ -106,6 +108,13 @@
             return false;
         }
         let _ = self.write.shutdown().await;
+        self.drain().await;
+        true
+    }
+
+    /// Reads on, within bounds, after the sending has been shut down: a close over unread bytes would be a
+    /// reset, and take along what has been written and not been read yet.
+    async fn drain(self) {
         let mut read = self.lines.into_inner();
         let mut rest = BytesMut::with_capacity(DRAIN_ROOM);
         let drain = async {
@@ -119,7 +128,6 @@
             }
         };
         let _ = timeout(LINGER, drain).await;
-        true
     }
 
     /// Writes a last line and closes at once, after what has come so far has been thrown away: unread, it
@@ -160,6 +168,8 @@
 enum First {
     Open(Box<Open>),
     Bad(LineOrOpen),
+    /// It has asked whether this gateway is there, and rested since.
+    Rested,
     /// Nothing more is owed.
     Over,
 }
@@ -227,6 +237,11 @@
                 })
             }
             First::Bad(why) => Err(self.refuse(&why)),
+            // It may ask at this very moment: what it reads then is an answer, and harmless.
+            First::Rested => {
+                self.core.closed(Closed::Unasked);
+                Err(busy(OVER_LIMIT))
+            }
             First::Over => return self.core.closed(Closed::Unasked),
         };
         match admitted {
@@ -250,13 +265,16 @@
         }
     }
 
-    /// Sends a client away that has not asked yet. Descriptors may be short, so only a few are waited for.
+    /// Sends a client away that has not asked yet. Where another needs its descriptor only a few are waited
+    /// for; at a stop nobody does, and all are.
     async fn displace(&self, client: Peer) {
-        let Some(closer) = self.lobby.closer() else {
+        let stops = self.lobby.is_closed();
+        let closer = if stops { None } else { self.lobby.closer() };
+        if closer.is_none() && !stops {
             self.core.closed(Closed::Hurried);
             return client.hurry(&busy(OVER_LIMIT));
-        };
-        self.core.closed(if self.lobby.is_closed() { Closed::Stopped } else { Closed::Displaced });
+        }
+        self.core.closed(if stops { Closed::Stopped } else { Closed::Displaced });
         self.end(client, &busy(OVER_LIMIT)).await;
         drop(closer);
     }
@@ -325,7 +343,7 @@
             Ok(Some(Err(LineError::Io(_))) | None) => return First::Over,
             Ok(Some(Err(error))) => return First::Bad(error.into()),
             // A `PING` has been answered; a client that only asks that is owed no error.
-            Err(_) if asked && !begun => return First::Over,
+            Err(_) if asked && !begun => return First::Rested,
             Err(_) => return First::Bad(LineOrOpen::Late),
         };
         match side.line(line) {
@@ -366,23 +384,31 @@
 impl Session {
     async fn run(mut self) {
         loop {
+            // The client goes before all else here and below: one that has left gets no attempt, also where it
+            // leaves at the moment at which the core decides on one.
             tokio::select! {
+                biased;
+                seen = watch(&mut self.client.lines, &mut self.side) => match seen {
+                    Client::Spoke(line) => self.early.extend_from_slice(&line),
+                    Client::Left => return self.left().await,
+                    Client::Bad(why) => return self.bad(&why).await,
+                },
                 command = self.commands.recv() => match command {
                     Some((_, Command::Attempt { attempt, address, timeout })) => {
-                        match self.attempt(attempt, address, timeout).await {
-                            Tried::Up(server, side, line) => match self.agreed(attempt).await {
-                                None => return self.pass(attempt, server, side, line).await,
-                                // Closed before anything else is done, as any attempt that is given up.
-                                Some(Tried::Left) => {
-                                    drop(server);
-                                    return self.left().await;
+                        let tried = match self.attempt(attempt, address, duration(timeout)).await {
+                            Ok((server, side, line)) => {
+                                match self.consent(attempt, Report::Up, Command::Pass { attempt }).await {
+                                    Ok(()) => return self.pass(attempt, server, side, line).await,
+                                    // Closed before anything else is done, as any attempt that is given up.
+                                    Err(tried) => {
+                                        drop(server);
+                                        tried
+                                    }
                                 }
-                                Some(Tried::Bad(why)) => {
-                                    drop(server);
-                                    return self.bad(&why).await;
-                                }
-                                Some(_) => drop(server),
-                            },
+                            }
+                            Err(tried) => tried,
+                        };
+                        match tried {
                             Tried::Over(outcome) => {
                                 self.front.core.tell(Report::Ended(self.id, attempt, outcome)).await;
                                 if self.open.at.is_some() {
@@ -396,16 +422,12 @@
                             Tried::Bad(why) => return self.bad(&why).await,
                         }
                     }
-                    Some((_, Command::Close { .. } | Command::Pass { .. } | Command::Hand(_))) => {}
                     Some((_, Command::Answer(answer))) => return self.answer(answer).await,
                     Some((_, Command::Move)) => return self.front.end(self.client, MOVE).await,
+                    // Of an attempt that has ended here meanwhile.
+                    Some(_) => {}
                     None => return self.forgotten().await,
                 },
-                seen = watch(&mut self.client.lines, &mut self.side) => match seen {
-                    Client::Spoke(line) => self.early.extend_from_slice(&line),
-                    Client::Left => return self.left().await,
-                    Client::Bad(why) => return self.bad(&why).await,
-                },
             }
         }
     }
@@ -427,24 +449,59 @@
         self.front.end(self.client, &busy(OVER_LIMIT)).await;
     }
 
-    /// Whether the core counts the connection that has just come up as standing: it may have given the
-    /// attempt up at the same moment, and sent another or answered. None where it does, else what became of it.
-    async fn agreed(&mut self, attempt: u32) -> Option<Tried> {
-        self.front.core.tell(Report::Up(self.id, attempt)).await;
+    /// Reports where an attempt stands, and waits for the core's consent to go on: it may have given the attempt
+    /// up at the same moment, and sent another or answered.
+    async fn consent(
+        &mut self,
+        attempt: u32,
+        report: fn(RequestId, u32) -> Report,
+        consent: Command,
+    ) -> Result<(), Tried> {
+        self.front.core.tell(report(self.id, attempt)).await;
         loop {
             tokio::select! {
+                biased;
+                seen = watch(&mut self.client.lines, &mut self.side) => self.saw(seen)?,
                 command = self.commands.recv() => match command {
-                    Some((_, Command::Pass { attempt: which })) if which == attempt => return None,
-                    Some((_, Command::Close { attempt: which })) if which == attempt => return Some(Tried::Closed),
+                    Some((_, command)) if command == consent => return Ok(()),
+                    Some((_, Command::Close { attempt: which })) if which == attempt => {
+                        return Err(Tried::Closed);
+                    }
                     Some(_) => {}
-                    None => return Some(Tried::Closed),
+                    None => return Err(Tried::Closed),
                 },
-                seen = watch(&mut self.client.lines, &mut self.side) => match seen {
-                    Client::Spoke(line) => self.early.extend_from_slice(&line),
-                    Client::Left => return Some(Tried::Left),
-                    Client::Bad(why) => return Some(Tried::Bad(why)),
+            }
+        }
+    }
+
+    /// Does a step of an attempt, unless the client leaves or the core gives the attempt up before its end.
+    async fn step<T>(&mut self, attempt: u32, step: impl Future<Output = T>) -> Result<T, Tried> {
+        tokio::pin!(step);
+        loop {
+            tokio::select! {
+                biased;
+                seen = watch(&mut self.client.lines, &mut self.side) => self.saw(seen)?,
+                command = self.commands.recv() => match command {
+                    Some((_, Command::Close { attempt: which })) if which == attempt => {
+                        return Err(Tried::Closed);
+                    }
+                    Some((_, Command::Move)) => return Err(Tried::Over(Outcome::Cancelled)),
+                    Some(_) => {}
+                    None => return Err(Tried::Closed),
                 },
+                done = &mut step => return Ok(done),
+            }
+        }
+    }
+
+    fn saw(&mut self, seen: Client) -> Result<(), Tried> {
+        match seen {
+            Client::Spoke(line) => {
+                self.early.extend_from_slice(&line);
+                Ok(())
             }
+            Client::Left => Err(Tried::Left),
+            Client::Bad(why) => Err(Tried::Bad(why)),
         }
     }
 
@@ -467,42 +524,42 @@
         self.front.end(self.client, &line).await;
     }
 
-    /// Makes one attempt. Its socket is closed before anything else is done when it is given up.
-    async fn attempt(&mut self, attempt: u32, address: std::net::SocketAddr, wait: Span) -> Tried {
-        let existing = self.open.at.is_some();
-        let line = if existing { self.open.raw.clone() } else { self.open.forward(duration(wait)) };
-        let by = Instant::now() + if existing { duration(wait).max(EXISTING) } else { duration(wait) };
+    /// Makes one attempt. Its socket is closed before anything else is done when it is given up, and nothing is
+    /// written before the core has consented: a connection may come up late.
+    async fn attempt(&mut self, attempt: u32, address: SocketAddr, wait: Duration) -> Result<Up, Tried> {
+        let begun = Instant::now();
+        if self.open.at.is_some() {
+            return self.reach_again(attempt, address, wait).await;
+        }
         let connect = self.front.times.connect;
-        let written = || self.front.core.count(Count::Tries, &self.open.class);
-        let dial = async {
+        let server = self.step(attempt, connected(address, connect)).await??;
+        self.consent(attempt, Report::Connected, Command::Begin { attempt }).await?;
+        // The runtime looks at the sockets once more: what the client has done by now counts.
+        self.step(attempt, yield_now()).await?;
+        let line = self.open.forward(wait.saturating_sub(begun.elapsed()));
+        let (core, class) = (self.front.core.clone(), self.open.class.clone());
+        self.step(attempt, exchange(server, &line, || core.count(Count::Tries, &class))).await?
+    }
+
+    /// Reaches the server of a connection that stood before the run, where there is no hurry, and nowhere else
+    /// to go.
+    async fn reach_again(&mut self, attempt: u32, address: SocketAddr, wait: Duration) -> Result<Up, Tried> {
+        let (by, connect) = (Instant::now() + wait.max(EXISTING), self.front.times.connect);
+        let (line, core, class) = (self.open.raw.clone(), self.front.core.clone(), self.open.class.clone());
+        let reach = async {
             loop {
-                let side = ServerSide::default();
-                match dial(address, &line, connect, side, &written).await {
-                    Dialled::Up(server, side, line) => return Tried::Up(server, side, line),
-                    // Before the run there is no hurry, and nowhere else to go.
-                    Dialled::Over(Outcome::ConnectError) if existing => sleep(EXISTING_AGAIN).await,
-                    Dialled::Over(outcome) => return Tried::Over(outcome),
+                let reached = match connected(address, connect).await {
+                    Ok(server) => exchange(server, &line, || core.count(Count::Tries, &class)).await,
+                    Err(tried) => Err(tried),
+                };
+                match reached {
+                    Err(Tried::Over(Outcome::ConnectError)) => sleep(EXISTING_AGAIN).await,
+                    reached => return reached,
                 }
             }
         };
-        tokio::pin!(dial);
-        loop {
-            tokio::select! {
-                tried = &mut dial => return tried,
-                () = tokio::time::sleep_until(by), if existing => return Tried::Over(Outcome::TimedOut),
-                command = self.commands.recv() => match command {
-                    Some((_, Command::Close { attempt: which })) if which == attempt => return Tried::Closed,
-                    Some((_, Command::Move)) => return Tried::Over(Outcome::Cancelled),
-                    Some(_) => {}
-                    None => return Tried::Closed,
-                },
-                seen = watch(&mut self.client.lines, &mut self.side) => match seen {
-                    Client::Spoke(line) => self.early.extend_from_slice(&line),
-                    Client::Left => return Tried::Left,
-                    Client::Bad(why) => return Tried::Bad(why),
-                },
-            }
-        }
+        let late = || Err(Tried::Over(Outcome::TimedOut));
+        self.step(attempt, async { timeout_at(by, reach).await.unwrap_or_else(|_| late()) }).await?
     }
 
     /// The connection stands.
@@ -526,6 +583,9 @@
         let id = self.id;
         self.side.up();
         let mut to_server = self.early.split().freeze();
+        if !to_server.is_empty() {
+            self.front.core.tell(Report::Asked(id, true)).await;
+        }
         let mut last = false;
         let end = loop {
             if last && to_client.is_empty() {
@@ -545,9 +605,6 @@
                     if written.is_err() {
                         break End::Server(side.end().into());
                     }
-                    if to_server.is_empty() {
-                        self.front.core.tell(Report::Asked(id, true)).await;
-                    }
                 }
                 line = server.lines.next(), if to_client.is_empty() && !last => match line {
                     Some(Ok(line)) => match side.line(line) {
@@ -565,7 +622,12 @@
                     Some(Err(_)) | None => break End::Server(side.end().into()),
                 },
                 line = self.client.lines.next(), if to_server.is_empty() => match line {
-                    Some(Ok(line)) => to_server = line,
+                    Some(Ok(line)) => {
+                        to_server = line;
+                        // From here on, and not from when it is written: a server that reads nothing any more
+                        // would not be noticed, nor a client that leaves meanwhile.
+                        self.front.core.tell(Report::Asked(id, true)).await;
+                    }
                     None => break End::Client(false),
                     Some(Err(LineError::Io(_))) => break End::Client(true),
                     Some(Err(error)) => {
@@ -582,38 +644,44 @@
                 },
             }
         };
-        // The server's side is closed before anyone else may have the id, and before the core hears.
-        let outcome = match end {
+        // The server's side is ended before anyone else may have the id, and before the core hears. Where it may
+        // have said something that nobody reads any more, the sending is shut down first: a reset would take
+        // along the client's last line.
+        let (outcome, server) = match end {
             End::Client(true) => {
                 server.reset();
-                Some(Outcome::Cancelled)
+                (Some(Outcome::Cancelled), None)
             }
-            End::Client(false) => {
-                drop(server);
-                Some(Outcome::Cancelled)
+            End::Client(false) | End::Moved => {
+                let _ = server.write.shutdown().await;
+                (matches!(end, End::Client(_)).then_some(Outcome::Cancelled), Some(server))
             }
             End::Server(outcome) => {
                 drop(server);
-                Some(outcome)
-            }
-            End::Moved => {
-                drop(server);
-                None
+                (Some(outcome), None)
             }
         };
         drop(self.claim);
         if let Some(outcome) = outcome {
             self.front.core.tell(Report::Ended(id, attempt, outcome)).await;
         }
-        match end {
-            End::Client(_) => {}
-            // A server that died says nothing: its client is told to move, and comes back soon.
-            End::Server(outcome) if !last && outcome != Outcome::Ok => {
-                self.front.end(self.client, &rest(to_client, MOVE)).await;
+        let drained = async {
+            if let Some(server) = server {
+                server.drain().await;
             }
-            End::Server(_) => self.front.end(self.client, &rest(to_client, b"")).await,
-            End::Moved => self.front.end(self.client, &rest(to_client, MOVE)).await,
-        }
+        };
+        let last_word: &[u8] = match end {
+            End::Client(_) => {
+                drop(self.client);
+                return drained.await;
+            }
+            // A server that died says nothing: its client is told to move, and comes back soon.
+            End::Server(outcome) if !last && outcome != Outcome::Ok => MOVE,
+            End::Server(_) => b"",
+            End::Moved => MOVE,
+        };
+        let last_words = rest(to_client, last_word);
+        tokio::join!(self.front.end(self.client, &last_words), drained);
     }
 
     /// Passes the connection to the successor as it is; where there is none or it will not, the client is
@@ -661,19 +729,24 @@
     Moved,
 }
 
+/// An attempt's connection that stands: the server, and the line that says so.
+type Up = (Peer, ServerSide, Bytes);
+
+/// How an attempt ended.
 enum Tried {
-    Up(Peer, ServerSide, Bytes),
     Over(Outcome),
+    /// The core has given it up.
     Closed,
+    /// The client has gone.
     Left,
     Bad(LineOrOpen),
 }
 
-enum Dialled {
-    Up(Peer, ServerSide, Bytes),
-    Over(Outcome),
-}
-
+/// What the client does while it waits for its answer.
+///
+/// One that ends its side has left, with a close, a half-close or a reset: the protocol has a client wait for
+/// its answer, knows no end of one direction alone, and a close cannot be told from a half-close before
+/// something has been written. That is decided here and nowhere else.
 async fn watch(lines: &mut Lines, side: &mut ClientSide) -> Client {
     match lines.next().await {
         Some(Ok(line)) => match side.line(line) {
@@ -687,30 +760,29 @@
     }
 }
 
-async fn dial(
-    address: std::net::SocketAddr,
-    line: &[u8],
-    connect: Duration,
-    mut side: ServerSide,
-    written: &impl Fn(),
-) -> Dialled {
-    let Ok(Ok(stream)) = timeout_at(Instant::now() + connect, TcpStream::connect(address)).await else {
-        return Dialled::Over(Outcome::ConnectError);
-    };
-    let mut server = Peer::new(stream);
+/// A connection to a server, if it comes up in time. One that comes up later has been closed before.
+async fn connected(address: SocketAddr, within: Duration) -> Result<Peer, Tried> {
+    match timeout(within, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Ok(Peer::new(stream)),
+        _ => Err(Tried::Over(Outcome::ConnectError)),
+    }
+}
+
+/// Writes the first line to a server, and reads its answer.
+async fn exchange(mut server: Peer, line: &[u8], written: impl Fn()) -> Result<Up, Tried> {
+    let mut side = ServerSide::default();
     if server.write.write_all(line).await.is_err() {
-        return Dialled::Over(side.end().into());
+        return Err(Tried::Over(side.end().into()));
     }
     side.written();
     written();
-    match server.lines.next().await {
+    let outcome = match server.lines.next().await {
         Some(Ok(line)) => match side.line(line) {
-            ServerEvent::Up(line) => Dialled::Up(server, side, line),
-            ServerEvent::Over(ending) => Dialled::Over(ending.into()),
-            ServerEvent::Pass(_) | ServerEvent::Load(..) | ServerEvent::Last(_) => {
-                Dialled::Over(Outcome::Failed)
-            }
+            ServerEvent::Up(line) => return Ok((server, side, line)),
+            ServerEvent::Over(ending) => ending.into(),
+            ServerEvent::Pass(_) | ServerEvent::Load(..) | ServerEvent::Last(_) => Outcome::Failed,
         },
-        Some(Err(_)) | None => Dialled::Over(side.end().into()),
-    }
+        Some(Err(_)) | None => side.end().into(),
+    };
+    Err(Tried::Over(outcome))
 }
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -1,110 +1,19 @@
 //! How clients and attempts end: sessions on loopback before a core that the test plays. Nobody is let go
 //! without the last line that is due, and nothing of an attempt that was given up reaches anyone.
 
+mod desk;
+
 use std::io::Write;
-use std::sync::Arc;
 use std::time::Duration;
 
-use ashtide::config::Room;
 use ashtide::engine::Answer;
-use ashtide::figures::Figures;
-use ashtide::net::lobby::Lobby;
-use ashtide::net::report::{Command, Handle, Port, Report};
-use ashtide::net::session::{Front, Times};
-use ashtide::{Outcome, RequestId, Span};
+use ashtide::net::report::{Command, Report};
+use ashtide::{Outcome, Span};
+use desk::{ASKS, CONNECT, Desk, ONE, STEP, WIDE, all};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-/// Whatever takes longer has failed.
-const STEP: Duration = Duration::from_secs(5);
-/// When connections are given up here.
-const CONNECT: Duration = Duration::from_millis(60);
-const ASKS: &str = "OPEN 1 2 c=meter,d=3000\r\n";
-
-/// Where clients come, with the test in the core's place.
-struct Desk {
-    front: Front,
-    reports: mpsc::Receiver<Report>,
-    figures: Arc<Figures>,
-    listener: TcpListener,
-    server: TcpListener,
-}
-
-impl Desk {
-    async fn new(room: Room) -> Self {
-        let figures = Arc::new(Figures::new(&["meter".to_owned()]));
-        let (sender, reports) = mpsc::channel(64);
-        let handle = Handle::new(figures.clone(), sender);
-        let front = Front::new(Lobby::new(room), Times { connect: CONNECT }, handle, watch::channel(None).1);
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let server = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        Self { front, reports, figures, listener, server }
-    }
-
-    /// A client that has been taken in and has had the time to say what it sends here.
-    async fn client(&self, says: &str) -> TcpStream {
-        let mut client = TcpStream::connect(self.listener.local_addr().expect("bound")).await.expect("taken");
-        let (theirs, _) = self.listener.accept().await.expect("there");
-        let (place, _) = self.front.lobby.enter();
-        tokio::spawn(self.front.clone().meet(theirs, place));
-        client.write_all(says.as_bytes()).await.expect("heard");
-        tokio::time::sleep(Duration::from_millis(5)).await;
-        client
-    }
-
-    async fn report(&mut self) -> Report {
-        timeout(STEP, self.reports.recv()).await.expect("a report").expect("sessions")
-    }
-
-    /// The request that a client has made.
-    async fn request(&mut self) -> (RequestId, Port) {
-        match self.report().await {
-            Report::Request(id, _, port) => (id, port),
-            other => panic!("{other:?}"),
-        }
-    }
-
-    fn attempt(&self, number: u32) -> Command {
-        let address = self.server.local_addr().expect("bound");
-        Command::Attempt { attempt: number, address, timeout: Span::from_micros(1_000_000) }
-    }
-
-    /// The attempt as the server gets it; its line has been read.
-    async fn arrived(&self) -> TcpStream {
-        let (mut stream, _) = timeout(STEP, self.server.accept()).await.expect("an attempt").expect("there");
-        let mut line = vec![0; ASKS.len()];
-        stream.read_exact(&mut line).await.expect("its line");
-        stream
-    }
-
-    /// A client that has asked, its request with the first attempt out, and the server's end of that.
-    async fn attempted(&mut self) -> (TcpStream, RequestId, Port, TcpStream) {
-        let client = self.client(ASKS).await;
-        let (id, port) = self.request().await;
-        port.try_send((id, self.attempt(0))).expect("room");
-        (client, id, port, self.arrived().await)
-    }
-
-    fn closed(&self, cause: &str) -> u64 {
-        let name = format!("router_closed_{cause}_total ");
-        let text = self.figures.text("");
-        let value = text.lines().find_map(|line| line.strip_prefix(&name));
-        value.and_then(|value| value.parse().ok()).expect("counted at the door")
-    }
-}
-
-const WIDE: Room = Room { sockets: 64, sessions: 16 };
-const ONE: Room = Room { sockets: 1, sessions: 1 };
-
-/// All that comes before a clean end; an error where the end is a reset.
-async fn all(stream: &mut TcpStream) -> std::io::Result<String> {
-    let mut said = String::new();
-    timeout(STEP, stream.read_to_string(&mut said)).await.expect("an end")?;
-    Ok(said)
-}
-
 #[tokio::test]
 async fn a_displaced_client_reads_its_refusal_whatever_it_has_just_sent() {
     let desk = Desk::new(ONE).await;
@@ -155,8 +64,7 @@
         let mut client = desk.client(ASKS).await;
         let (id, port) = desk.request().await;
         if attempt {
-            port.try_send((id, desk.attempt(0))).expect("room");
-            drop(desk.arrived().await);
+            drop(desk.send(id, &port, 0).await);
             assert!(matches!(desk.report().await, Report::Ended(_, 0, Outcome::Reset)));
         }
         drop(port);
@@ -175,8 +83,10 @@
     assert!(matches!(desk.report().await, Report::Up(_, 0)));
     port.try_send((id, Command::Close { attempt: 0 })).expect("room");
     port.try_send((id, desk.attempt(1))).expect("room");
+    assert_eq!(all(&mut first).await.expect("an end"), "", "closed before the second is sent");
+    desk.connected(id, 1).await;
+    port.try_send((id, Command::Begin { attempt: 1 })).expect("room");
     let mut second = desk.arrived().await;
-    assert_eq!(all(&mut first).await.expect("an end"), "", "closed before the second was sent");
     second.write_all(b"UP second\r\n").await.expect("read");
     assert!(matches!(desk.report().await, Report::Up(_, 1)));
     port.try_send((id, Command::Pass { attempt: 1 })).expect("room");
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,158 @@
+//! Clients that leave while they wait, and attempts whose time is over before their first byte: sessions on
+//! loopback before a core that the test plays, which forces each order.
+
+mod desk;
+
+use std::time::Duration;
+
+use ashtide::Outcome;
+use ashtide::engine::Answer;
+use ashtide::net::report::{Command, Report};
+use ashtide::{RequestId, Span};
+use desk::{ASKS, Desk, STEP, WIDE, all};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// How a client leaves.
+#[derive(Debug, Clone, Copy)]
+enum Leaves {
+    Closes,
+    HalfCloses,
+    Resets,
+}
+
+const ALL: [Leaves; 3] = [Leaves::Closes, Leaves::HalfCloses, Leaves::Resets];
+
+/// Leaves without the runtime's hearing of it yet: what is returned keeps a half-closed socket.
+fn leave(client: TcpStream, how: Leaves) -> Option<std::net::TcpStream> {
+    if matches!(how, Leaves::Resets) {
+        client.set_zero_linger().expect("set");
+    }
+    let client = client.into_std().expect("a socket");
+    if matches!(how, Leaves::HalfCloses) {
+        client.shutdown(std::net::Shutdown::Write).expect("ends");
+        return Some(client);
+    }
+    None
+}
+
+/// All that a server gets of an attempt whose connection it has accepted, until its end.
+async fn got(desk: &Desk) -> String {
+    let (mut attempt, _) = timeout(STEP, desk.server.accept()).await.expect("a connection").expect("there");
+    let mut bytes = Vec::new();
+    // A reset is an end, too.
+    let _ = timeout(STEP, attempt.read_to_end(&mut bytes)).await.expect("an end");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// The client has gone and its session with it: a connection may have come up, but carries nothing.
+async fn nothing_arrives(desk: &Desk, how: Leaves) {
+    if let Ok(Ok((mut attempt, _))) = timeout(Duration::from_millis(2), desk.server.accept()).await {
+        let mut bytes = Vec::new();
+        let _ = timeout(STEP, attempt.read_to_end(&mut bytes)).await.expect("an end");
+        assert_eq!(String::from_utf8_lossy(&bytes), "", "{how:?}: sent on");
+    }
+}
+
+async fn left(desk: &mut Desk, id: RequestId, what: &str) {
+    let report = desk.report().await;
+    assert!(matches!(report, Report::Left(it) if it == id), "{what}: {report:?}");
+}
+
+#[tokio::test]
+async fn who_leaves_as_an_attempt_is_decided_gets_none() {
+    let mut desk = Desk::new(WIDE).await;
+    // Both are there when the session looks; it must not be a matter of luck which it sees.
+    for how in ALL.into_iter().cycle().take(30) {
+        let client = desk.client(ASKS).await;
+        let (id, port) = desk.request().await;
+        let rest = leave(client, how);
+        port.try_send((id, desk.attempt(0))).expect("room");
+        left(&mut desk, id, &format!("{how:?} while it waits")).await;
+        nothing_arrives(&desk, how).await;
+        drop(rest);
+    }
+}
+
+#[tokio::test]
+async fn who_leaves_while_the_server_is_being_reached_is_not_sent_on() {
+    let mut desk = Desk::new(WIDE).await;
+    for how in ALL.into_iter().cycle().take(30) {
+        let client = desk.client(ASKS).await;
+        let (id, port) = desk.request().await;
+        port.try_send((id, desk.attempt(0))).expect("room");
+        desk.connected(id, 0).await;
+        let rest = leave(client, how);
+        port.try_send((id, Command::Begin { attempt: 0 })).expect("room");
+        left(&mut desk, id, &format!("{how:?} in connect")).await;
+        assert_eq!(got(&desk).await, "", "{how:?} in connect");
+        drop(rest);
+    }
+}
+
+#[tokio::test]
+async fn who_leaves_in_back_off_or_with_an_attempt_out_is_heard_at_once() {
+    let mut desk = Desk::new(WIDE).await;
+    for how in ALL {
+        for out in [false, true] {
+            let (client, id, port, mut server) = desk.attempted().await;
+            if !out {
+                server.write_all(b"BUSY\r\n").await.expect("read");
+                let report = desk.report().await;
+                assert!(matches!(report, Report::Ended(_, 0, Outcome::QueueFull)), "{report:?}");
+            }
+            let rest = leave(client, how);
+            left(&mut desk, id, &format!("{how:?}, attempt out: {out}")).await;
+            let mut bytes = Vec::new();
+            let _ = timeout(STEP, server.read_to_end(&mut bytes)).await.expect("the attempt's end");
+            assert!(port.is_closed() || port.try_send((id, desk.attempt(1))).is_err(), "no session is left");
+            drop(rest);
+        }
+    }
+}
+
+#[tokio::test]
+async fn what_a_client_has_sent_ahead_does_not_hide_its_end() {
+    let mut desk = Desk::new(WIDE).await;
+    // As much as a client may say before it is answered: the end stands behind all of it.
+    let ahead = format!("{ASKS}{}", format!("{}\r\n", "x".repeat(500)).repeat(8));
+    for how in [Leaves::Closes, Leaves::HalfCloses] {
+        for half in ["", "half a line"] {
+            let client = desk.client(&format!("{ahead}{half}")).await;
+            let (id, port) = desk.request().await;
+            let rest = leave(client, how);
+            port.try_send((id, desk.attempt(0))).expect("room");
+            left(&mut desk, id, &format!("{how:?} behind {} bytes", ahead.len() + half.len())).await;
+            nothing_arrives(&desk, how).await;
+            drop(rest);
+        }
+    }
+    // And who says more than that is told so, and called off.
+    for more in ["one more\r\n".to_owned(), "y".repeat(5000)] {
+        let mut client = desk.client(&format!("{ahead}{more}")).await;
+        let (id, _port) = desk.request().await;
+        left(&mut desk, id, "too much ahead").await;
+        assert_eq!(all(&mut client).await.expect("no reset"), "ERR\r\n");
+    }
+}
+
+#[tokio::test]
+async fn a_connection_that_comes_up_too_late_carries_no_byte() {
+    let mut desk = Desk::new(WIDE).await;
+    let mut client = desk.client(ASKS).await;
+    let (id, port) = desk.request().await;
+    port.try_send((id, desk.attempt(0))).expect("room");
+    desk.connected(id, 0).await;
+    // Meanwhile its server was told to drain: the core gives the attempt up, and sends another.
+    port.try_send((id, Command::Close { attempt: 0 })).expect("room");
+    port.try_send((id, desk.attempt(1))).expect("room");
+    assert_eq!(got(&desk).await, "", "given up before its first byte");
+    desk.connected(id, 1).await;
+    // A consent to the first is none to the second.
+    port.try_send((id, Command::Begin { attempt: 0 })).expect("room");
+    port.try_send((id, Command::Close { attempt: 1 })).expect("room");
+    assert_eq!(got(&desk).await, "", "given up before its first byte");
+    port.try_send((id, Command::Answer(Answer::Refused(Span::ZERO)))).expect("room");
+    assert_eq!(all(&mut client).await.expect("no reset"), "BUSY\r\n");
+}
