Closing, late connections and the first byte: tests that force each order

A server that stops reading is noticed by the lines before; nothing was found that the earlier report would have changed.

--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -583,9 +583,6 @@
         let id = self.id;
         self.side.up();
         let mut to_server = self.early.split().freeze();
-        if !to_server.is_empty() {
-            self.front.core.tell(Report::Asked(id, true)).await;
-        }
         let mut last = false;
         let end = loop {
             if last && to_client.is_empty() {
@@ -605,6 +602,9 @@
                     if written.is_err() {
                         break End::Server(side.end().into());
                     }
+                    if to_server.is_empty() {
+                        self.front.core.tell(Report::Asked(id, true)).await;
+                    }
                 }
                 line = server.lines.next(), if to_client.is_empty() && !last => match line {
                     Some(Ok(line)) => match side.line(line) {
@@ -622,12 +622,7 @@
                     Some(Err(_)) | None => break End::Server(side.end().into()),
                 },
                 line = self.client.lines.next(), if to_server.is_empty() => match line {
-                    Some(Ok(line)) => {
-                        to_server = line;
-                        // From here on, and not from when it is written: a server that reads nothing any more
-                        // would not be noticed, nor a client that leaves meanwhile.
-                        self.front.core.tell(Report::Asked(id, true)).await;
-                    }
+                    Some(Ok(line)) => to_server = line,
                     None => break End::Client(false),
                     Some(Err(LineError::Io(_))) => break End::Client(true),
                     Some(Err(error)) => {
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -6,14 +6,17 @@
 use std::io::Write;
 use std::time::Duration;
 
+use ashtide::config::Room;
 use ashtide::engine::Answer;
-use ashtide::net::report::{Command, Report};
-use ashtide::{Outcome, Span};
-use desk::{ASKS, CONNECT, Desk, ONE, STEP, WIDE, all};
+use ashtide::net::report::{Command, Port, Report};
+use ashtide::{Outcome, RequestId, Span};
+use desk::{ASKS, CONNECT, Desk, STEP, WIDE, all};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
+const ONE: Room = Room { sockets: 1, sessions: 1 };
+
 #[tokio::test]
 async fn a_displaced_client_reads_its_refusal_whatever_it_has_just_sent() {
     let desk = Desk::new(ONE).await;
@@ -177,3 +180,107 @@
     port.try_send((id, Command::Answer(Answer::Failed))).expect("room");
     assert_eq!(all(&mut client).await.expect("no reset"), "ERR\r\n");
 }
+
+#[tokio::test]
+async fn who_asks_as_a_resting_connection_ends_has_an_answer_and_is_not_sent_on() {
+    let mut desk = Desk::new(WIDE).await;
+    let mut client = desk.client("PING\r\n").await;
+    let mut pong = [0; 6];
+    client.read_exact(&mut pong).await.expect("there");
+    assert_eq!(&pong, b"PONG\r\n");
+    // It rests until it is ended, and asks in that moment: the sending has been shut down, and it is read on.
+    let mut said = String::new();
+    let mut byte = [0];
+    while client.read(&mut byte).await.expect("no reset") > 0 {
+        said.push(char::from(byte[0]));
+        if said.len() == 1 {
+            client.write_all(ASKS.as_bytes()).await.expect("taken");
+        }
+    }
+    assert_eq!(said, "BUSY 1000\r\n");
+    client.write_all(b"and more\r\n").await.expect("no reset");
+    assert!(timeout(CONNECT, desk.reports.recv()).await.is_err(), "no request of it");
+}
+
+#[tokio::test]
+async fn a_stop_waits_for_all_that_rest_however_many() {
+    let desk = Desk::new(WIDE).await;
+    let mut clients = Vec::new();
+    for _ in 0..20 {
+        clients.push(desk.client("").await.into_std().expect("a socket"));
+    }
+    desk.front.lobby.close();
+    // Each asks before it has heard of the stop: unread, that would be a reset at its end.
+    for client in &clients {
+        client.set_nonblocking(false).expect("blocks");
+        (&*client).write_all(ASKS.as_bytes()).expect("sent");
+    }
+    tokio::time::sleep(CONNECT).await;
+    for client in clients {
+        (&client).write_all(b"more\r\n").expect("not reset");
+        client.set_nonblocking(true).expect("waits");
+        let mut client = TcpStream::from_std(client).expect("a socket");
+        assert_eq!(all(&mut client).await.expect("no reset"), "BUSY 1000\r\n");
+    }
+    assert_eq!((desk.closed("stopped"), desk.closed("hurried")), (20, 0));
+}
+
+/// A standing connection whose server has said something that the client does not read any more.
+async fn talking(desk: &mut Desk) -> (TcpStream, RequestId, Port, TcpStream) {
+    let (mut client, id, port, mut server) = desk.attempted().await;
+    server.write_all(b"UP one\r\n").await.expect("read");
+    assert!(matches!(desk.report().await, Report::Up(_, 0)));
+    port.try_send((id, Command::Pass { attempt: 0 })).expect("room");
+    let mut up = [0; 8];
+    client.read_exact(&mut up).await.expect("stands");
+    (client, id, port, server)
+}
+
+#[tokio::test]
+async fn a_clients_last_line_reaches_its_server_whatever_that_says_meanwhile() {
+    let mut desk = Desk::new(WIDE).await;
+    for half in [false, true] {
+        let (client, _, _port, server) = talking(&mut desk).await;
+        let (client, server) = (client.into_std().expect("a socket"), server.into_std().expect("a socket"));
+        // The server's line and the client's end are there together; nobody reads the one any more.
+        (&client).write_all(b"the last\r\n").expect("sent");
+        client.shutdown(std::net::Shutdown::Write).expect("ends");
+        for _ in 0..50 {
+            (&server).write_all(b"unread by anyone\r\n").expect("sent");
+        }
+        let rest = half.then_some(client);
+        let mut server = TcpStream::from_std(server).expect("a socket");
+        let mut line = [0; 10];
+        timeout(STEP, server.read_exact(&mut line)).await.expect("a line").expect("whole");
+        assert_eq!(&line, b"the last\r\n");
+        // A client that is gone answers what comes for it with a reset, and that is passed on as one.
+        let end = all(&mut server).await;
+        assert!(!half || end.is_ok_and(|more| more.is_empty()), "a clean end, no reset");
+        drop((rest, server));
+        loop {
+            match desk.report().await {
+                Report::Ended(_, 0, outcome) => break assert_eq!(outcome, Outcome::Cancelled),
+                Report::Asked(..) | Report::Answered(_) => {}
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_server_whose_client_is_moved_has_a_clean_end() {
+    let mut desk = Desk::new(WIDE).await;
+    let (mut client, id, port, mut server) = talking(&mut desk).await;
+    client.write_all(b"a line\r\n").await.expect("sent");
+    assert!(matches!(desk.report().await, Report::Asked(..)));
+    let mut line = [0; 8];
+    server.read_exact(&mut line).await.expect("passed on");
+    port.try_send((id, Command::Move)).expect("room");
+    let server = server.into_std().expect("a socket");
+    (&server).write_all(b"its answer\r\n").expect("sent");
+    let mut server = TcpStream::from_std(server).expect("a socket");
+    assert_eq!(all(&mut server).await.expect("no reset"), "");
+    server.write_all(b"more\r\n").await.expect("still read");
+    drop(server);
+    assert!(all(&mut client).await.expect("no reset").ends_with("MOVE\r\n"));
+}
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -110,7 +110,6 @@
 }
 
 pub const WIDE: Room = Room { sockets: 64, sessions: 16 };
-pub const ONE: Room = Room { sockets: 1, sessions: 1 };
 
 /// All that comes before a clean end; an error where the end is a reset.
 pub async fn all(stream: &mut TcpStream) -> std::io::Result<String> {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -52,9 +52,13 @@
 
 impl World {
     fn new() -> Self {
+        Self::with(settings())
+    }
+
+    fn with(settings: Settings) -> Self {
         let now = Time::from_micros(1_000_000);
         let mut world = Self {
-            engine: Engine::new(settings(), 7, (now, Instant::now())),
+            engine: Engine::new(settings, 7, (now, Instant::now())),
             now,
             effects: Vec::new(),
             seen: BTreeMap::new(),
@@ -85,6 +89,21 @@
         self.check();
     }
 
+    /// Whether the attempt that is out may write its first byte, as its front asks when it is connected.
+    fn begins(&mut self, id: RequestId) -> bool {
+        let Some((attempt, _)) = self.seen[&id].out else { return false };
+        let may = self.engine.may_begin(self.now, id, attempt, &mut self.effects);
+        self.check();
+        may
+    }
+
+    /// The list says this of a server.
+    fn listed(&mut self, server: u32, state: ServerState) {
+        let entry = Listing { state, ..Listing::ready(ServerId(server), ZoneId(0)) };
+        self.engine.list(self.now, ListNews::Changes, vec![entry], &mut self.effects);
+        self.check();
+    }
+
     fn up(&mut self, id: RequestId) {
         let Some((attempt, established)) = &mut self.seen.get_mut(&id).expect("of this world").out else {
             return;
@@ -403,3 +422,102 @@
         assert!(ask(&mut world) > 3, "it is used again");
     });
 }
+
+#[test]
+fn an_attempt_whose_server_drains_or_goes_while_it_connects_begins_elsewhere() {
+    for state in [ServerState::Draining, ServerState::Gone] {
+        with_time(async {
+            let mut world = World::new();
+            let id = world.request();
+            let chosen = world.engine.server_of(id).expect("an attempt is out");
+            world.pass(20).await;
+            world.listed(chosen.0, state);
+            assert_eq!(world.seen[&id].attempts, 1, "nothing has been written, and nothing is asked for yet");
+            assert!(!world.begins(id), "{state:?}: no first byte");
+            assert_eq!(world.seen[&id].attempts, 2, "another server is tried at once");
+            assert_ne!(world.engine.server_of(id), Some(chosen));
+            assert!(world.begins(id));
+            // Operators' word counts as the list's.
+            let second = world.engine.server_of(id).expect("out");
+            world.engine.cordon(world.now, second, true, &mut world.effects);
+            assert!(!world.begins(id), "cordoned while it connects");
+        });
+    }
+}
+
+#[test]
+fn an_attempt_that_was_given_up_or_whose_client_has_left_does_not_begin() {
+    with_time(async {
+        let mut world = World::new();
+        let (gone, late) = (world.request(), world.request());
+        world.engine.client_left(world.now, gone, &mut world.effects);
+        assert!(!world.engine.may_begin(world.now, gone, 0, &mut world.effects));
+        world.check();
+        world.end(late, Outcome::ConnectError);
+        assert_eq!(world.seen[&late].attempts, 2, "tried elsewhere at once");
+        assert!(!world.engine.may_begin(world.now, late, 0, &mut world.effects), "the second is out");
+        world.check();
+        assert!(world.begins(late));
+    });
+}
+
+#[test]
+fn nothing_begins_once_the_list_is_no_longer_vouched_for() {
+    with_time(async {
+        let mut world = World::new();
+        world.engine.unheard(world.now, world.now);
+        world.pass(5_990).await;
+        let id = world.request();
+        assert_eq!(world.seen[&id].attempts, 1, "chosen in time");
+        // The wheel may come late, the first byte must not.
+        world.now = world.now + micros(10);
+        assert!(!world.engine.unvouched() && !world.begins(id), "no first byte");
+        assert_eq!((world.seen[&id].attempts, world.seen[&id].answers), (1, 1), "answered at once");
+    });
+}
+
+#[test]
+fn a_repeat_does_not_begin_once_its_window_has_ended() {
+    for (window, begins) in [(390, true), (360, false)] {
+        with_time(async {
+            let mut settings = settings();
+            let group = KeyedGroup::All;
+            settings.classes[0].effect = ashtide::Effect::Keyed { group, window: micros(window) };
+            let mut world = World::with(settings);
+            let id = world.request();
+            assert!(world.begins(id));
+            world.pass(40).await;
+            world.end(id, Outcome::Reset);
+            world.pass(140).await;
+            assert_eq!(world.seen[&id].attempts, 2, "repeated within the window");
+            // It takes long to connect: 380 ms have passed since the first was sent.
+            world.pass(200).await;
+            assert_eq!(world.begins(id), begins, "{window} ms");
+            assert_eq!(
+                world.seen[&id].answers,
+                u32::from(!begins),
+                "no server may get it, so it is answered"
+            );
+        });
+    }
+}
+
+#[test]
+fn a_request_that_may_not_be_repeated_is_tried_elsewhere_where_nothing_was_written() {
+    with_time(async {
+        let mut settings = settings();
+        settings.classes[0].effect = ashtide::Effect::Unsafe;
+        let mut world = World::with(settings);
+        let id = world.request();
+        let chosen = world.engine.server_of(id).expect("an attempt is out");
+        world.listed(chosen.0, ServerState::Draining);
+        assert!(!world.begins(id));
+        assert_eq!((world.seen[&id].attempts, world.seen[&id].answers), (2, 0), "it has run nowhere");
+        // `BUSY` says the same; a reset behind the last byte does not.
+        world.end(id, Outcome::QueueFull);
+        world.pass(500).await;
+        assert_eq!((world.seen[&id].attempts, world.begins(id)), (3, true));
+        world.end(id, Outcome::Reset);
+        assert_eq!(world.seen[&id].answers, 1);
+    });
+}
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -94,6 +94,7 @@
 #[tokio::test]
 async fn who_leaves_in_back_off_or_with_an_attempt_out_is_heard_at_once() {
     let mut desk = Desk::new(WIDE).await;
+    let mut seen = 0;
     for how in ALL {
         for out in [false, true] {
             let (client, id, port, mut server) = desk.attempted().await;
@@ -106,6 +107,8 @@
             left(&mut desk, id, &format!("{how:?}, attempt out: {out}")).await;
             let mut bytes = Vec::new();
             let _ = timeout(STEP, server.read_to_end(&mut bytes)).await.expect("the attempt's end");
+            assert_eq!(desk.closed("left"), seen + 1, "counted for the operators' door");
+            seen += 1;
             assert!(port.is_closed() || port.try_send((id, desk.attempt(1))).is_err(), "no session is left");
             drop(rest);
         }
