Idle clients keep nobody from discovery: the system's own limit counts, and EMFILE makes room

Cause: what clients may fill was reckoned from `limits.sockets` alone. Where the system allows less, a crowd of idle clients took every descriptor; an accept that failed waited 20 ms and took the next free one itself, so that discovery, attempts and the door found none for as long as the crowd came again (src/net/listen.rs, `serve`; src/main.rs).

Change: the lower of both limits counts, said once in the log; and an accept that fails lets those go that have been there longest without having asked.

--- a/src/main.rs
+++ b/src/main.rs
@@ -48,7 +48,12 @@
 }
 
 fn start(files: Files) -> Result<(), Box<dyn std::error::Error>> {
-    let config = Config::read(|name| std::env::var(name).ok())?;
+    let mut config = Config::read(|name| std::env::var(name).ok())?;
+    let descriptors = socket::descriptors();
+    if descriptors < config.limits.sockets {
+        info!("ashtide: limits.sockets is {}, the system allows {descriptors}", config.limits.sockets);
+        config.limits.sockets = descriptors;
+    }
     // The platform names no deploy file.
     let fronts = files.fronts.as_deref().map(Fronts::read).transpose()?.unwrap_or_default();
     let view = files.view.as_deref().map(Settings::read).transpose().map_err(ViewError::told)?;
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -51,6 +51,7 @@
             }
             Err(error) => {
                 TROUBLE.say(format_args!("accept failed: {error}"));
+                front.lobby.short();
                 tokio::time::sleep(AFTER_FAILURE).await;
             }
         }
--- a/src/net/lobby.rs
+++ b/src/net/lobby.rs
@@ -41,6 +41,13 @@
     fn waiting(&self) -> usize {
         self.silent.len() + self.spoken.len()
     }
+
+    /// Sends away the one that has been there longest, of those that have not sent a byte if there are any.
+    fn make_room(&mut self) {
+        if let Some((_, oldest)) = self.silent.pop_first().or_else(|| self.spoken.pop_first()) {
+            let _ = oldest.send(());
+        }
+    }
 }
 
 /// A client's place. It is given back when dropped.
@@ -92,10 +99,7 @@
         let mut crowded = false;
         while inside.waiting() >= most {
             crowded = true;
-            let oldest = inside.silent.pop_first().or_else(|| inside.spoken.pop_first());
-            if let Some((_, oldest)) = oldest {
-                let _ = oldest.send(());
-            }
+            inside.make_room();
         }
         inside.arrivals += 1;
         let number = inside.arrivals;
@@ -108,6 +112,15 @@
         (Place { lobby: self.clone(), number, displaced }, crowded)
     }
 
+    /// The system has no descriptor left, whatever the limits say: those that have been there longest without
+    /// having asked for anything make room.
+    pub fn short(&self) {
+        let mut inside = self.inside();
+        for _ in 0..CLOSERS {
+            inside.make_room();
+        }
+    }
+
     /// Leave to wait for the end of a client that was displaced, unless that is done for many already.
     pub fn closer(&self) -> Option<OwnedSemaphorePermit> {
         self.closers.clone().try_acquire_owned().ok()
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rustix::net::sockopt::socket_acceptconn;
-use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+use rustix::process::{PidfdFlags, PidfdGetfdFlags, Resource, getpid, getrlimit, pidfd_getfd, pidfd_open};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::time::sleep;
 use tracing::info;
@@ -26,6 +26,13 @@
     socket.listen(BACKLOG)
 }
 
+/// How many descriptors the system lets this process have, whatever it is told: what clients may fill is
+/// reckoned from the lower of both, or the rest of the process would find none.
+pub fn descriptors() -> usize {
+    let most = getrlimit(Resource::Nofile).current;
+    most.and_then(|most| usize::try_from(most).ok()).unwrap_or(usize::MAX)
+}
+
 /// Between two tries to bind an address for datagrams.
 const BIND_AGAIN: Duration = Duration::from_millis(500);
 
