Tests of pages and of broken weights move from source files to test files

Cause: tests live in test files; a module of tests stood in the fleet's page.rs and, as driven.rs, in the source of ashtide-throughput. The module `page` is public and hidden for its test; the broken variants of the weights are reached by the feature `broken`, which only the crate's own tests turn on, as in ashtide-fleet. What was cfg(test) in violation.rs, register.rs and weights.rs is such a variant, not a test, and stays there under that feature.

--- a/crates/ashtide-fleet/src/lib.rs
+++ b/crates/ashtide-fleet/src/lib.rs
@@ -32,7 +32,8 @@
 
 mod frame;
 mod member;
-mod page;
+#[doc(hidden)] // Public for tests/pages.rs alone.
+pub mod page;
 pub mod state;
 mod view;
 
--- a/crates/ashtide-fleet/src/page.rs
+++ b/crates/ashtide-fleet/src/page.rs
@@ -9,10 +9,13 @@
 
 /// A member as a page tells it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Entry {
-    pub(crate) member: Member,
-    pub(crate) incarnation: u16,
-    pub(crate) state: State,
+pub struct Entry {
+    /// Who.
+    pub member: Member,
+    /// How often it has contradicted a suspicion.
+    pub incarnation: u16,
+    /// What the page's sender holds of it.
+    pub state: State,
 }
 
 impl Entry {
@@ -27,22 +30,22 @@
 
 /// What stands at the head of a page.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Head {
+pub struct Head {
     /// Who sends it...
-    pub(crate) from: Member,
+    pub from: Member,
     /// ...and how often it has contradicted a suspicion.
-    pub(crate) incarnation: u16,
+    pub incarnation: u16,
     /// The sender's [`digest`].
-    pub(crate) digest: u64,
+    pub digest: u64,
     /// What is wanted of the receiver.
-    pub(crate) wants: Wants,
+    pub wants: Wants,
     /// The page tells all that the sender knows from after this address on; from the first where there is none...
-    pub(crate) after: Option<SocketAddr>,
+    pub after: Option<SocketAddr>,
 }
 
 /// What a page wants of its receiver.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Wants {
+pub enum Wants {
     /// A page, if the digests differ. It has no entries.
     Compare,
     /// What the receiver knows better in this piece, and its digest.
@@ -53,11 +56,13 @@
 
 /// A page as it was heard.
 #[derive(Debug, Clone)]
-pub(crate) struct Page {
-    pub(crate) head: Head,
+pub struct Page {
+    /// What stands at its head.
+    pub head: Head,
     /// Whether it goes to the last address that the sender knows; else it ends at its last entry.
-    pub(crate) last: bool,
-    pub(crate) entries: Vec<Entry>,
+    pub last: bool,
+    /// Its entries, by rising address.
+    pub entries: Vec<Entry>,
 }
 
 const STATE: u8 = 0b11;
@@ -93,7 +98,7 @@
 }
 
 /// Writes a page of at most `room` bytes with as many of `entries`, by rising address, as fit; how many did.
-pub(crate) fn encode(head: &Head, entries: &[Entry], last: bool, room: usize) -> (Vec<u8>, usize) {
+pub fn encode(head: &Head, entries: &[Entry], last: bool, room: usize) -> (Vec<u8>, usize) {
     let mut bytes = vec![0];
     put(&mut bytes, head);
     let (mut before, mut count) = (Before::new(head), 0);
@@ -140,7 +145,7 @@
 }
 
 /// Reads a page; nothing where it is none.
-pub(crate) fn decode(mut bytes: &[u8]) -> Option<Page> {
+pub fn decode(mut bytes: &[u8]) -> Option<Page> {
     let last: bool = take(&mut bytes)?;
     let head: Head = take(&mut bytes)?;
     let (mut before, mut entries) = (Before::new(&head), Vec::new());
@@ -194,47 +199,3 @@
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
 }
-
-#[cfg(test)]
-mod tests {
-    use proptest::collection::vec;
-    use proptest::prelude::*;
-    use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-
-    use super::*;
-
-    #[test]
-    fn a_page_is_read_as_it_was_written_as_far_as_it_has_room() {
-        let cases = Config { cases: 256, failure_persistence: None, ..Config::default() };
-        let mut runner = TestRunner::new_with_rng(cases, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
-        let ip = prop_oneof![
-            any::<u32>().prop_map(|ip| IpAddr::from(ip.to_be_bytes())),
-            any::<u128>().prop_map(|ip| IpAddr::from(ip.to_be_bytes())),
-        ];
-        let entry = (ip, any::<u16>(), any::<u64>(), any::<bool>(), 0..4_u16, 0..3_u8).prop_map(
-            |(ip, port, generation, leaving, incarnation, state)| Entry {
-                member: Member { address: SocketAddr::new(ip, port), generation, leaving },
-                incarnation,
-                state: [State::Alive, State::Suspect, State::Down][usize::from(state)],
-            },
-        );
-        runner
-            .run(&(vec(entry, 1..60), any::<bool>(), any::<u64>()), |(mut entries, last, digest)| {
-                entries.sort_unstable_by_key(|it| it.member.address);
-                let from = entries[0].member;
-                let after = last.then_some(from.address);
-                let head = Head { from, incarnation: 3, digest, wants: Wants::Better, after };
-                let (bytes, count) = encode(&head, &entries, last, 250);
-                prop_assert!(bytes.len() <= 250 && count > 0);
-                let page = decode(&bytes).expect("a page");
-                prop_assert_eq!((page.head, &page.entries[..]), (head, &entries[..count]));
-                prop_assert_eq!(page.last, last && count == entries.len());
-                prop_assert!(
-                    (0..bytes.len())
-                        .all(|cut| decode(&bytes[..cut]).is_none_or(|it| it.entries.len() < count))
-                );
-                Ok(())
-            })
-            .unwrap();
-    }
-}
--- a/crates/ashtide-throughput/src/lib.rs
+++ b/crates/ashtide-throughput/src/lib.rs
@@ -29,8 +29,6 @@
 //! assert!(weight(3) < 0.7 * weight(1));
 //! ```
 
-#[cfg(test)]
-mod driven;
 mod observer;
 mod options;
 pub mod pooling;
@@ -51,6 +49,8 @@
     MAX_SERVERS, Register, Registers, Said, ServerKey, Unheard, decode, encode,
 };
 pub use spread::spread;
+#[cfg(feature = "broken")]
+pub use violation::Broken;
 pub use violation::Violation;
 pub use weights::{Evidence, Server, Weights};
 
@@ -101,6 +101,12 @@
         Ok(Self { own, generation, observer, weights: Weights::new(options)? })
     }
 
+    /// Breaks it on purpose.
+    #[cfg(feature = "broken")]
+    pub fn break_by(&mut self, broken: Broken) {
+        self.weights.broken = Some(broken);
+    }
+
     /// Takes in what was seen.
     pub fn hear(&mut self, now: Duration, event: Event) {
         match event {
--- a/crates/ashtide-throughput/src/register.rs
+++ b/crates/ashtide-throughput/src/register.rs
@@ -346,7 +346,7 @@
         Ok(differing)
     }
 
-    #[cfg(test)]
+    #[cfg(feature = "broken")]
     pub(crate) fn entry_mut(&mut self, gateway: GatewayId, server: ServerKey) -> Option<&mut Entry> {
         self.by_gateway.get_mut(&gateway)?.entries.get_mut(&server).map(|(entry, _)| entry)
     }
--- a/crates/ashtide-throughput/src/violation.rs
+++ b/crates/ashtide-throughput/src/violation.rs
@@ -109,13 +109,14 @@
     }
 }
 
-/// Variants of the program that are wrong on purpose: tests show that the check finds each.
+/// Variants of the program that are wrong on purpose: tests show that the check finds each. Without the
+/// feature `broken`, which only tests turn on, none can be chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Broken {
+pub enum Broken {
     /// What a server holds is taken for what it bears.
     CapacityIsUse,
     /// Registers are added up where they are joined.
-    #[cfg(test)]
+    #[cfg(feature = "broken")]
     MergeBySum,
     /// What was measured is believed whole.
     NoPooling,
--- a/crates/ashtide-throughput/src/weights.rs
+++ b/crates/ashtide-throughput/src/weights.rs
@@ -156,7 +156,7 @@
     heard: f64,
     /// Gateways whose words are passed over, as they were off in the last turn.
     discredited: BTreeSet<GatewayId>,
-    #[cfg(test)]
+    #[cfg(feature = "broken")]
     pub(crate) broken: Option<Broken>,
 }
 
@@ -173,17 +173,17 @@
             work: 0.0,
             heard: 0.0,
             discredited: BTreeSet::new(),
-            #[cfg(test)]
+            #[cfg(feature = "broken")]
             broken: None,
         })
     }
 
-    #[cfg(test)]
+    #[cfg(feature = "broken")]
     fn is(&self, broken: Broken) -> bool {
         self.broken == Some(broken)
     }
 
-    #[cfg(not(test))]
+    #[cfg(not(feature = "broken"))]
     fn is(&self, _broken: Broken) -> bool {
         false
     }
@@ -243,7 +243,7 @@
             }
         }
         let news = self.registers.join(now, said)?;
-        #[cfg(test)]
+        #[cfg(feature = "broken")]
         if self.is(Broken::MergeBySum) {
             for (key, said_entry) in &said.2 {
                 if let Some(entry) = self.registers.entry_mut(said.0, *key) {
--- a/crates/ashtide-throughput/src/driven.rs
+++ b/crates/ashtide-throughput/tests/driven.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
+use ashtide_throughput::{
+    Broken, Event, GatewayId, Life, MAX_SAMPLES, Options, Server, ServerKey, Throughput, Violation, decode,
+    encode,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::violation::Broken;
-use crate::{
-    Event, GatewayId, Life, MAX_SAMPLES, Options, Server, ServerKey, Throughput, Violation, decode, encode,
-};
-
 struct Tier {
     rng: ChaCha8Rng,
     now: Duration,
@@ -52,7 +51,9 @@
         let options = Options { trouble: Duration::from_secs(15), ..options };
         let own = GatewayId(gateway as u16);
         let mut core = Throughput::new(options, own, self.generations[gateway]).expect("usable");
-        core.weights.broken = self.broken;
+        if let Some(broken) = self.broken {
+            core.break_by(broken);
+        }
         for server in 0..self.lives.len() {
             core.hear(self.now, Event::Listed(self.server(server)));
         }
