--- a/deploy/sites/play.jq
+++ b/deploy/sites/play.jq
@@ -8,15 +8,34 @@
 def sum(f): [.[] | f | .. | numbers] | add // 0;
 def named: to_entries | map(select(.value != 0) | "\(.key) \(.value)") | join(", ");
 
-# What the gate holds of a day, each with its distance: the day itself, classes and tenants that it looks at.
+# What the bench says of a day against its own bars, each with its distance: the day, classes, tenants.
 def bars: .row as $row
   | [["day", $row.served, $row.served_least]]
     + [$row.by_class[]? | .[0] |= "class " + .] + [$row.by_tenant[]? | .[0] |= "tenant " + .]
   | map(select((.[1] != null) and ((.[2] // 0) > 0))
         | {what: .[0], served: .[1], wanted: .[2], over: (.[1] - .[2])});
-# The bar that is nearest to being missed.
-def nearest:
-  [.[] | .row.name as $day | .row.seed as $seed | bars[] | . + {day: $day, seed: $seed}] | min_by(.over);
+
+# Over all days of `--panel brink`: a third of what the late-seeing policy serves, in all and of each class.
+def thirds:
+  [{what: "all days", offered: (map(.worth_offered) | add), served: (map(.worth_served) | add),
+    late: (map((.row.served_late // 0) * .worth_offered) | add)}]
+  + ([.[] | .row.by_class as $by | .classes[] | .name as $name
+      | . + {what: "all days, class \(.name)",
+             late: (.offered * 2 * ([$by[] | select(.[0] == $name) | .[2]] | add // 0))}]
+     | group_by(.what)
+     | map({what: .[0].what, offered: (map(.offered) | add), served: (map(.served) | add),
+            late: (map(.late) | add)}))
+  | map(select(.offered > 0) | {what, served: (.served / .offered), wanted: (.late / .offered / 3)}
+        | .over = .served - .wanted);
+
+# What the gate holds of a day: its bars, but on brink a fifth of the late-seeing policy's, `crowd` aside.
+def gate: if .row.name | contains("brink") | not then bars
+  elif (.row.name | contains("crowd")) or .row.served == null then []
+  else [.row | {what: "a fifth", served, wanted: (.served_late / 5), over: (.served - .served_late / 5)}] end;
+def nearest(f): [.[] | (.row | {day: .name, seed}) as $at | f[] | . + $at] | min_by(.over);
+def told: if . == null then "nothing measured"
+  else "\(.over | signed) (\(.what) \(.served | f3) of \(.wanted | f3)"
+    + (if .day then ", \(.day), seed \(.seed))" else ")" end) end;
 
 def counts: . as $days
   | (reduce (.[] | .row.rules // {} | to_entries[]) as $it ({}; .[$it.key] += $it.value) | named) as $rules
@@ -33,28 +52,13 @@
         | " (\($soon) % in 10 s)" end)
     + "  faults \($faults | length)\(if $faults == [] then "" else ": " + ($faults | join("; ")) end)";
 
-# On the days of `--panel brink` the page asks for less than the days' own figures: over all days a third of
-# what the late-seeing policy serves, in all and of each class, and a fifth on each day but `crowd`.
-def brink: if all(.[]; .row.name | contains("brink")) | not then "" else
-    [{what: "all", offered: sum(.worth_offered), served: sum(.worth_served),
-      late: ([.[] | (.row.served_late // 0) * .worth_offered] | add)}]
-    + ([.[] | .row.by_class as $by | .classes[] | .name as $name
-        | . + {what: .name, late: (.offered * 2 * ([$by[] | select(.[0] == $name) | .[2]] | add // 0))}]
-       | group_by(.what)
-       | map({what: .[0].what, offered: (map(.offered) | add), served: (map(.served) | add),
-              late: (map(.late) | add)}))
-    | map("\(.what) \(.served / .offered | f3) of \(.late / .offered / 3 | f3)") | join(", ")
-  end;
-def fifth: [.[] | .row | select((.name | contains("crowd") | not) and .served != null)
-  | .served - .served_late / 5] | min;
-
-def line($day): nearest as $it
+def line($day): (.[0].row.name | contains("brink")) as $brink
+  | ([nearest(gate)] + (if $brink and $day == "ALL" then thirds else [] end)
+     | map(values) | min_by(.over)) as $it
   | ([.[] | select(.row.gate != null) | "\(.row.name): \(.row.gate)"] | join("; ")) as $missed
-  | "\($play | pad(22)) \($day | pad(8)) \(length | pad(2)) days  "
-    + "served \([.[].row.served] | min | f3) to \([.[].row.served] | max | f3)  "
-    + (if $it == null then "nothing measured  " else
-        "least \($it.over | signed) (\($it.what) \($it.served | f3) of \($it.wanted | f3), "
-        + "\($it.day), seed \($it.seed))  " end)
+  | "\($play | pad(18)) \($day | pad(6)) \(length | pad(2)) days  "
+    + "served \([.[].row.served] | min | f3) to \([.[].row.served] | max | f3)  least \($it | told)  "
+    + (if $brink then "days' own bars, not held: \(nearest(bars) | told)  " else "" end)
     + counts + (if $missed == "" then "" else "  GATE \($missed)" end);
 
 . as $root | .days as $days
@@ -62,7 +66,5 @@
   as $groups
 | ($groups[] as $it | [$days[] | select(.row.name | split("+")[0] == $it)] | line($it)),
   ($days | line("ALL")
-    + (brink | if . == "" then "" else "  third over all days: \(.)" end)
-    + (if ($days | brink) == "" then "" else "  fifth of a day: \($days | fifth | signed)" end)
     + "  score \($root.score // 0 | f3)  "
     + if $root.gate.passed then "GATE PASSED" else "GATE FAILED: \($root.gate.why)" end)
