One clock for the list: whatever ended a watch, it stands 6 s from the last whole word

Cause: only a watch that fell silent (`WatchEnded(Some(..))`) started the engine's clock, so a list stood for good after an EOF, a reset, a 503, a call that was given up, a move by SIGHUP, and in a process that was never answered. A call's bound was per read, so one that trickled was waited for without end.

Change: `discovery::Vouching` holds the time, told events only; the engine asks it and arms `Due::Unvouched` from its start. `WatchEnded` always says how long ago the list was last in step. A refused connection moves the time while nothing else was found. A call has 3.5 s in all, a watch 2.5 s between whole objects or beats. `Watching` comes behind the first object: between the two a client's request saw the old list vouched for again. What is not vouched for is masked in every list, also one that is relayed. News and `Watching` carry the watch's number and are void after a later one began. Changes older than the list lead to a call for the whole list. Waits between calls stay within 3 s; the list that stops being vouched for no longer resets them (it came as `Changes`), and an answer with nothing new does. A move adds no second chain of calls. TCP_NODELAY on the call.

tests/engine.rs: its engine is told that its list is in step, and `unheard` names the end; no assertion changed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::interface::*;
+use crate::{discovery::WAIT, interface::*};
 
 /// Draws in search of a fit server before the whole list is walked.
 const QUICK_DRAWS: u32 = 6;
@@ -318,12 +318,12 @@
         }
     }
 
-    /// A call failed or the subscription broke: call again, with growing and jittered waits, well before the
-    /// rules count the list as told. A pushed one counts at once, and its agent answers at no price.
+    /// A call failed or the subscription broke: call again, with growing and jittered waits, so that it can be
+    /// answered before the rules count the list as told. A pushed one counts at once, and its agent has no price.
     fn on_broken_list(&mut self, now: Time) {
         let pushed = self.settings.discovery == Discovery::Pushed;
         let longest = if pushed { self.settings.drain_grace } else { self.settings.ask_within }.scale(0.5);
-        let wait = longest.scale((0.1 * f64::from(1 << self.list_fails.min(6))).min(1.0));
+        let wait = longest.scale((0.1 * f64::from(1 << self.list_fails.min(6))).min(1.0)).min(WAIT);
         let at = now + wait.scale(0.5 + 0.5 * self.rng.random::<f64>());
         self.list_fails += 1;
         self.actions.push(Action::SetTimer { token: SUBSCRIBE, at });
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -10,7 +10,7 @@
 use serde_inline_default::serde_inline_default;
 use tokio_util::codec::Decoder;
 
-use crate::interface::ServerState;
+use crate::interface::{ServerState, Span, Time};
 
 /// Longest head of an answer.
 const MAX_HEAD: usize = 8 << 10;
@@ -20,9 +20,17 @@
 const MAX_SIZE_LINE: usize = 256;
 /// A watch on which nothing changes says so this often (PROTOCOL, "Discovery").
 pub const BEAT: Duration = Duration::from_millis(2000);
-/// A watch is silent a little after one beat has failed to come: what it misses counts as told 6 s after the
-/// silence began, and a call for it may take 3 s.
+/// A watch is silent a little after one beat has failed to come, whatever bytes come: what it misses counts as told
+/// [`TOLD`] after the silence began, and a call for it may take 3 s.
 pub const QUIET: Duration = Duration::from_millis(2500);
+/// A call has failed unless it has told something whole by then, from its begin on. Discovery itself fails one that
+/// has waited 3 s.
+pub const CALL: Duration = Duration::from_millis(3500);
+/// A change counts as told so long after discovery had it and could be reached (STANDING, "One clock for silence");
+/// with the grace that the rule gives beside, nothing placed until then can break it.
+pub const TOLD: Span = Span::from_micros(6_000_000);
+/// Longest wait between two calls: [`TOLD`] less a call of 3 s, so that each call can be answered in time.
+pub const WAIT: Span = Span::from_micros(3_000_000);
 
 /// One entry of the list.
 #[serde_inline_default]
@@ -86,6 +94,70 @@
     pub endpoints: Vec<Entry>,
 }
 
+impl News {
+    /// Whether it can be laid over a list of this version: a whole list always, changes unless they are older. A
+    /// service that begins anew counts its versions anew, and what it has changed before these changes is unknown.
+    pub fn fits(&self, version: u64) -> bool {
+        self.snapshot || self.index >= version
+    }
+}
+
+/// How a call or a watch ended, as far as it bears on what is missed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// A watch in step was closed, reset or left: what was written before its end has come.
+    Closed,
+    /// Nothing listens where discovery should be.
+    Refused,
+    /// Anything else: silence, or a call that was answered by 503, reset, given up or not understood.
+    Failed,
+}
+
+/// Until when the list is vouched for. It is told events and their times, and has no socket and no clock.
+///
+/// While a watch that has answered is in step, the list stands. Whatever ends that, it stands for [`TOLD`] from the
+/// last whole object or beat on; for a new process, from its start on. Failures that follow change nothing: a 503, a
+/// reset or a time-out shows that something is there, which may have been told of a change meanwhile. A connection
+/// that is refused shows that nothing is there: no change can have been told since, and the time runs from that
+/// moment. It does so only as long as all that was found since the watch was in step is that nothing listens, and
+/// while the list still stands: else a change may count as told already.
+#[derive(Debug, Clone, Copy)]
+pub struct Vouching {
+    /// None while a watch is in step.
+    until: Option<Time>,
+    /// Something may have listened, and known of changes, since the list was last in step.
+    reached: bool,
+}
+
+impl Vouching {
+    /// For a process that starts now, with whatever list.
+    pub fn new(start: Time) -> Self {
+        Self { until: Some(start + TOLD), reached: false }
+    }
+
+    /// Discovery has told a whole object or a beat, and the list is as it says.
+    pub fn in_step(&mut self) {
+        *self = Self { until: None, reached: false };
+    }
+
+    /// A call or watch has ended now; the list was last in step at `since`. Until when it is vouched for, if that is
+    /// new.
+    pub fn ended(&mut self, now: Time, since: Time, end: End) -> Option<Time> {
+        let before = self.until;
+        let until = before.unwrap_or(since + TOLD);
+        self.reached |= end == End::Failed;
+        let unreached = end == End::Refused && !self.reached && now < until;
+        let until = if unreached { now + TOLD } else { until };
+        self.until = Some(until);
+        (before != self.until).then_some(until)
+    }
+
+    /// Whether the list stands at this time.
+    pub fn holds(&self, now: Time) -> bool {
+        self.until.is_none_or(|until| now < until)
+    }
+}
+
 /// Why a watch is over.
 #[derive(Debug, thiserror::Error)]
 pub enum WatchError {
@@ -101,9 +173,17 @@
     /// An object is no list.
     #[error("bad list: {0}")]
     List(#[from] serde_json::Error),
-    /// Nothing has come for so long, though something is due every [`BEAT`].
+    /// Nothing whole has come for so long, though something is due every [`BEAT`].
     #[error("silent for {0:?}")]
     Silent(Duration),
+    /// Changes are older than the list: discovery has begun its versions anew.
+    #[error("changes of version {index} to a list of version {had}")]
+    Behind {
+        /// The list's version.
+        had: u64,
+        /// That of the changes.
+        index: u64,
+    },
     /// A head or an object is over its bound.
     #[error("over-long {0}")]
     TooLong(&'static str),
@@ -112,6 +192,17 @@
     Io(#[from] io::Error),
 }
 
+impl WatchError {
+    /// What it shows of discovery, where the watch had told something whole or had not.
+    pub fn end(&self, in_step: bool) -> End {
+        match self {
+            Self::Io(error) if !in_step && error.kind() == io::ErrorKind::ConnectionRefused => End::Refused,
+            Self::Io(_) if in_step => End::Closed,
+            _ => End::Failed,
+        }
+    }
+}
+
 /// What a watch tells.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WatchEvent {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -14,6 +14,7 @@
 use tokio_util::time::{DelayQueue, delay_queue::Key};
 
 use crate::brain::Balancer;
+use crate::discovery::{End, TOLD, Vouching};
 use crate::interface::*;
 use crate::probing::Probing;
 use crate::rights::{Datagram, Key as ServerKey, PATIENCE, Rights, Step, Terms, Unheard, Violation};
@@ -42,9 +43,6 @@
 /// A process that leaves keeps its connections for this part of the time it has to move them: they are
 /// served meanwhile, and where others restart in turn, the one before is back.
 const LEAVE_FROM: f64 = 0.4;
-/// What a silent watch has missed counts as told this long after the silence began (STANDING, "One clock for
-/// silence"); with the grace that the rule gives beside, nothing placed until then can break it.
-const SILENCE_TOLD: Span = Span::from_micros(6_000_000);
 /// Longest wait that the wheel is asked for.
 const LONGEST: Span = Span::from_micros(86_400_000_000);
 
@@ -119,7 +117,7 @@
     Move(RequestId),
     /// Time to look over the standing connections.
     Sweep,
-    /// What a silent watch has missed counts as told.
+    /// What was missed of the list may count as told.
     Unvouched,
     /// The owner of a server's allowance that was asked under this number has had its time.
     Overdue(ServerKey, u16),
@@ -174,8 +172,8 @@
     /// What the list says of each server, and those that operators have taken out whatever it says.
     listed: BTreeMap<ServerId, Listing>,
     cordoned: BTreeSet<ServerId>,
-    /// When the list can no longer be vouched for, after a watch that fell silent; and whether that has come.
-    vouched_until: Option<Time>,
+    /// Until when the list is vouched for; and whether nothing is placed as that is past.
+    vouching: Vouching,
     unvouched: bool,
     wheel: DelayQueue<Due>,
     tick: Span,
@@ -224,7 +222,7 @@
             pulses: BTreeMap::new(),
             listed: BTreeMap::new(),
             cordoned: BTreeSet::new(),
-            vouched_until: None,
+            vouching: Vouching::new(anchor.0),
             unvouched: false,
             wheel: DelayQueue::new(),
             tick,
@@ -243,6 +241,7 @@
             inbox: VecDeque::new(),
         };
         engine.schedule(anchor.0 + SWEEP, Due::Sweep);
+        engine.schedule(anchor.0 + TOLD, Due::Unvouched);
         engine
     }
 
@@ -297,20 +296,22 @@
         self.apply(now, news, entries, out);
     }
 
-    /// A watch has fallen silent since then: any server may have been drained unheard.
-    pub fn unheard(&mut self, now: Time, since: Time) {
-        // Of two silences without an answer between them the first counts.
-        let until = *self.vouched_until.get_or_insert(since + SILENCE_TOLD);
-        self.schedule(until.max(now), Due::Unvouched);
+    /// A call or watch has ended, and the list was last in step at `since`: any server may have been drained
+    /// unheard.
+    pub fn unheard(&mut self, now: Time, since: Time, end: End) {
+        if let Some(until) = self.vouching.ended(now, since, end) {
+            self.schedule(until.max(now), Due::Unvouched);
+        }
     }
 
-    /// Discovery has answered, so that the list stands with what comes with the answer.
+    /// Discovery has answered, and what came with the answer is on the list, which stands from now on.
     pub fn vouched(&mut self, now: Time, out: &mut Vec<Effect>) {
-        self.vouched_until = None;
-        if std::mem::take(&mut self.unvouched) {
-            let entries = self.listed.values().map(|listing| self.masked(self.in_use(listing))).collect();
-            self.run(now, Event::List { news: ListNews::Changes, entries }, out);
-        }
+        self.vouching.in_step();
+        let again = std::mem::take(&mut self.unvouched);
+        // The module hears of an answer with nothing new as well: its next call is soon again.
+        let listed = self.listed.values().filter(|_| again);
+        let entries = listed.map(|listing| self.masked(self.in_use(listing))).collect();
+        self.run(now, Event::List { news: ListNews::Changes, entries }, out);
     }
 
     /// Whether nothing may be placed for want of a list.
@@ -322,13 +323,13 @@
     /// told to go. To refuse for some seconds costs these seconds, to place on one server that was drained
     /// breaks a rule.
     fn unvouch(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if self.unvouched || self.vouched_until.is_none_or(|until| now < until) {
+        if self.unvouched || self.vouching.holds(now) {
             return;
         }
         self.unvouched = true;
-        let ready = self.listed.values().filter(|listing| listing.state == ServerState::Ready);
-        let entries = ready.map(|it| Listing { state: ServerState::Draining, ..it.clone() }).collect();
-        self.run(now, Event::List { news: ListNews::Changes, entries }, out);
+        let entries = self.listed.values().map(|listing| self.masked(self.in_use(listing))).collect();
+        // No word of discovery: the waits between calls go on as they have grown.
+        self.run(now, Event::List { news: ListNews::Stale, entries }, out);
     }
 
     /// An entry of the list as the module is to see it.
@@ -337,9 +338,11 @@
         Listing { state: if out { ServerState::Draining } else { listing.state }, ..listing.clone() }
     }
 
-    /// Such an entry, where servers that are out by judgement drain for the module alone.
+    /// Such an entry, where servers that are out by judgement, and all while nothing is vouched for, drain for the
+    /// module alone.
     fn masked(&self, listing: Listing) -> Listing {
-        let out = listing.state == ServerState::Ready && self.judged.contains(&listing.server);
+        let out = self.unvouched || self.judged.contains(&listing.server);
+        let out = out && listing.state == ServerState::Ready;
         Listing { state: if out { ServerState::Draining } else { listing.state }, ..listing }
     }
 
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -327,7 +327,8 @@
             Report::Asked(id, prompt) => self.engine.asked(now, id, prompt),
             Report::Answered(id) => self.engine.answered(now, id),
             Report::Load(id, figure) => self.engine.load(now, id, figure, out),
-            Report::News(news) => {
+            report if self.handle.is_void(&report) => {}
+            Report::News(_, news) => {
                 self.told = true;
                 let kind = if news.snapshot { ListNews::Whole } else { ListNews::Changes };
                 self.news(news, kind);
@@ -353,13 +354,13 @@
                     UNHEARD.say(format_args!("datagram of gateway {}: {why}; {}", from.0, why.help()));
                 }
             }
-            // Before the news that may come with it: what was vouched for again may have changed.
-            Report::Watching => self.engine.vouched(now, out),
-            Report::WatchEnded(silent) => {
-                if let Some(silent) = silent {
-                    self.engine.unheard(now, now - span(silent));
+            // Behind the news that came with it: what is vouched for again may have changed.
+            Report::Watching(_) => self.engine.vouched(now, out),
+            Report::WatchEnded { in_step, end, ask } => {
+                self.engine.unheard(now, now - span(in_step), end);
+                if ask {
+                    self.engine.list(now, ListNews::Broken, Vec::new(), out);
                 }
-                self.engine.list(now, ListNews::Broken, Vec::new(), out);
             }
             Report::Probed(server, ok) => self.engine.probed(now, server, ok, out),
             Report::Keep(server, out) => {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,21 +1,19 @@
 //! Keeps a watch on discovery whenever the core asks for one.
 
+use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::Decoder;
 use tracing::info;
 
 use super::report::{Handle, Report};
-use crate::discovery::{News, QUIET, WatchCodec, WatchError, WatchEvent, watch_request};
+use crate::discovery::{CALL, End, News, QUIET, WatchCodec, WatchError, WatchEvent, watch_request};
 
-/// A call that has not begun to answer by then has failed.
-const CALL: Duration = Duration::from_millis(3500);
 /// What is read of a watch at a time.
 const ROOM: usize = 4096;
 
@@ -24,77 +22,135 @@
 /// another service say nothing, so it is asked for all, and until it answers the last list stands.
 pub async fn follow(
     mut address: watch::Receiver<SocketAddr>,
-    mut after: u64,
+    after: u64,
     mut subscribe: mpsc::Receiver<()>,
     core: Handle,
 ) {
-    let (mut begun, mut moved) = (false, false);
-    let mut at = *address.borrow();
+    let mut follower = Follower { core, number: 0, after, in_step: Instant::now(), answered: false };
+    // Whether the core means to ask, or has asked: of two chains of calls each would be soon.
+    let (mut begun, mut moved, mut awaited) = (false, false, true);
     loop {
         if !moved {
             tokio::select! {
-                asked = subscribe.recv() => if asked.is_none() { return },
+                asked = subscribe.recv() => match asked {
+                    Some(()) => awaited = false,
+                    None => return,
+                },
                 // Nothing is watched unasked for the first time.
-                Ok(()) = address.changed(), if begun => {}
+                Ok(()) = address.changed(), if begun => moved = true,
             }
         }
         begun = true;
-        let now = *address.borrow_and_update();
-        if now != at {
-            (at, after) = (now, 0);
+        let at = *address.borrow_and_update();
+        if std::mem::take(&mut moved) {
+            follower.after = 0;
         }
         let why = tokio::select! {
-            ended = watch(at, &mut after, &core) => ended,
+            biased;
             Ok(()) = address.changed() => {
                 moved = true;
-                continue;
+                None
             }
+            ended = follower.call(at) => Some(ended),
         };
-        moved = false;
-        let silent = match why {
-            Err(WatchError::Silent(silent)) => Some(silent),
-            _ => None,
+        let end = match &why {
+            Some(Err(error)) => error.end(follower.answered),
+            _ if follower.answered => End::Closed,
+            _ => End::Failed,
         };
-        let why = why.map_or_else(|error| error.to_string(), |()| "ended".to_owned());
-        info!("discovery: {at}: watch after version {after}: {why}");
+        if let Some(why) = why {
+            let why = why.map_or_else(|error| error.to_string(), |()| "ended".to_owned());
+            info!("discovery: {at}: watch after version {}: {why}", follower.after);
+        } else {
+            // What the old service has told and the core has not heard yet is void from now on.
+            follower.begin();
+        }
         // Whatever was asked meanwhile was asked of the watch that has ended.
-        while subscribe.try_recv().is_ok() {}
-        core.tell(Report::WatchEnded(silent)).await;
+        while subscribe.try_recv().is_ok() {
+            awaited = false;
+        }
+        let ask = !moved && !awaited;
+        awaited |= ask;
+        let in_step = follower.in_step.elapsed();
+        follower.core.tell(Report::WatchEnded { in_step, end, ask }).await;
     }
 }
 
-async fn watch(address: SocketAddr, after: &mut u64, core: &Handle) -> Result<(), WatchError> {
-    let late = || std::io::Error::from(std::io::ErrorKind::TimedOut);
-    let connection = timeout(CALL, TcpStream::connect(address)).await.map_err(|_| late())??;
-    let (mut read, mut write) = connection.into_split();
-    write.write_all(watch_request(&address.to_string(), *after).as_bytes()).await?;
-    let (mut codec, mut buffer) = (WatchCodec::default(), BytesMut::with_capacity(ROOM));
-    let (mut answered, mut heard) = (false, Instant::now());
-    loop {
-        // By bytes and not by objects: a long list may take its time.
-        let patience = if answered { QUIET } else { CALL };
-        let Ok(read) = timeout(patience, read.read_buf(&mut buffer)).await else {
-            // Counted from the last byte: a process that stalled wakes late.
-            return Err(if answered { WatchError::Silent(heard.elapsed()) } else { late().into() });
-        };
-        heard = Instant::now();
-        if read? == 0 {
-            return Ok(());
-        }
-        while let Some(event) = codec.decode(&mut buffer)? {
-            if !std::mem::replace(&mut answered, true) {
-                let what = match &event {
-                    WatchEvent::News(News { snapshot: true, .. }) => "whole list",
-                    WatchEvent::News(_) => "changes",
-                    WatchEvent::Beat => "nothing new",
-                };
-                info!("discovery: {address}: watching after version {after}, {what}");
-                core.tell(Report::Watching).await;
+/// What outlives a single watch.
+struct Follower {
+    core: Handle,
+    /// The present watch's.
+    number: u64,
+    /// The version of the list.
+    after: u64,
+    /// When the last whole object or beat of any watch came, or the start.
+    in_step: Instant,
+    /// Whether the present watch has told something whole.
+    answered: bool,
+}
+
+impl Follower {
+    fn begin(&mut self) {
+        self.number = self.core.next_watch();
+        self.answered = false;
+    }
+
+    async fn call(&mut self, address: SocketAddr) -> Result<(), WatchError> {
+        self.begin();
+        let mut deadline = Instant::now() + CALL;
+        let late = || io::Error::from(io::ErrorKind::TimedOut);
+        let ask = connect(address, self.after);
+        let mut stream = timeout_at(deadline, ask).await.map_err(|_| late())??;
+        let (mut codec, mut buffer) = (WatchCodec::default(), BytesMut::with_capacity(ROOM));
+        loop {
+            // Bytes alone put nothing off. What has come by the deadline is read first, also by a process that
+            // stalled and wakes late.
+            let Ok(read) = timeout_at(deadline, stream.read_buf(&mut buffer)).await else {
+                let silent = self.in_step.elapsed();
+                return Err(if self.answered { WatchError::Silent(silent) } else { late().into() });
+            };
+            if read? == 0 {
+                return Ok(());
             }
-            if let WatchEvent::News(news) = event {
-                *after = news.index;
-                core.tell(Report::News(news)).await;
+            while let Some(event) = codec.decode(&mut buffer)? {
+                self.take(address, event).await?;
+                deadline = self.in_step + QUIET;
             }
         }
     }
+
+    async fn take(&mut self, address: SocketAddr, event: WatchEvent) -> Result<(), WatchError> {
+        let first = !std::mem::replace(&mut self.answered, true);
+        if first {
+            let what = match &event {
+                WatchEvent::News(News { snapshot: true, .. }) => "whole list",
+                WatchEvent::News(_) => "changes",
+                WatchEvent::Beat => "nothing new",
+            };
+            info!("discovery: {address}: watching after version {}, {what}", self.after);
+        }
+        if let WatchEvent::News(news) = event {
+            let (index, fits) = (news.index, news.fits(self.after));
+            // Only what has been told counts: this may be given up meanwhile.
+            self.core.tell(Report::News(self.number, news)).await;
+            let had = std::mem::replace(&mut self.after, if fits { index } else { 0 });
+            if !fits {
+                // What these entries say is so, but not what changed before: that takes a whole list.
+                return Err(WatchError::Behind { had, index });
+            }
+        }
+        self.in_step = Instant::now();
+        if first {
+            self.core.tell(Report::Watching(self.number)).await;
+        }
+        Ok(())
+    }
+}
+
+/// Connects and asks for what came after this version.
+async fn connect(address: SocketAddr, after: u64) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    stream.write_all(watch_request(&address.to_string(), after).as_bytes()).await?;
+    Ok(stream)
 }
--- a/src/net/report.rs
+++ b/src/net/report.rs
@@ -4,14 +4,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use ashtide_wire::Ending;
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::discovery::News;
+use crate::discovery::{End, News};
 use crate::engine::Answer;
 use crate::figures::{Closed, Count, Figures};
 use crate::handover::{Cordons, Share};
@@ -94,16 +94,24 @@
     Answered(RequestId),
     /// The connection's load as the server has told it: microseconds of work a second.
     Load(RequestId, f64),
-    /// News of the list.
-    News(News),
+    /// News of the list, on the watch of this number.
+    News(u64, News),
     /// The list as an older process of this balancer has it.
     Relayed(News),
     /// What other processes of this balancer hold, by server, and what operators have called out there.
     Beside(BTreeMap<String, Share>, Cordons),
-    /// Discovery has answered: what a watch before this one may have missed is told now.
-    Watching,
-    /// The watch has ended, after so long a silence if that is why.
-    WatchEnded(Option<Duration>),
+    /// Discovery has answered on the watch of this number, and what came with the answer has been told: nothing is
+    /// missed any longer.
+    Watching(u64),
+    /// A call or watch is over.
+    WatchEnded {
+        /// How long ago the list was last in step: the last whole object or beat of any watch, or the start.
+        in_step: Duration,
+        /// How it ended.
+        end: End,
+        /// Whether the core is to ask for another: not where one is asked for already.
+        ask: bool,
+    },
     /// A datagram of another gateway.
     Heard(PeerId, Bytes),
     /// A probe is back.
@@ -133,12 +141,13 @@
     figures: Arc<Figures>,
     reports: mpsc::Sender<Report>,
     ids: Arc<AtomicU32>,
+    watch: Arc<AtomicU64>,
 }
 
 impl Handle {
     /// A handle whose reports go here.
     pub fn new(figures: Arc<Figures>, reports: mpsc::Sender<Report>) -> Self {
-        Self { figures, reports, ids: Arc::new(AtomicU32::new(1)) }
+        Self { figures, reports, ids: Arc::new(AtomicU32::new(1)), watch: Arc::default() }
     }
 
     /// The figures that all handles count into.
@@ -151,6 +160,17 @@
         RequestId(self.ids.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// The number of a watch that begins: what earlier ones have told and nobody has heard yet is void.
+    pub fn next_watch(&self) -> u64 {
+        self.watch.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Whether this is what a watch before the present one has told.
+    pub fn is_void(&self, report: &Report) -> bool {
+        let present = self.watch.load(Ordering::Relaxed);
+        matches!(report, Report::News(watch, _) | Report::Watching(watch) if *watch != present)
+    }
+
     /// Counts one of this class.
     pub fn count(&self, count: Count, class: &str) {
         self.figures.count(count, class);
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use ashtide::discovery::End;
 use ashtide::engine::{Effect, Engine};
 use ashtide::*;
 use futures_util::FutureExt;
@@ -63,6 +64,7 @@
         };
         let entries = (0..SERVERS).map(|server| Listing::ready(ServerId(server), ZoneId(0))).collect();
         world.engine.list(now, ListNews::Whole, entries, &mut world.effects);
+        world.engine.vouched(now, &mut world.effects);
         world
     }
 
@@ -392,7 +394,7 @@
         world.engine.list(world.now, ListNews::Changes, entries, &mut world.effects);
         assert_eq!(ask(&mut world), 0);
         // Nor does discovery that is back, after a silence in which all drain.
-        world.engine.unheard(world.now, world.now);
+        world.engine.unheard(world.now, world.now, End::Failed);
         world.pass(6_100).await;
         assert!(world.engine.unvouched());
         world.engine.vouched(world.now, &mut world.effects);
