--- a/src/brain.rs
+++ b/src/brain.rs
@@ -319,7 +319,7 @@
     }
 
     /// A call failed or the subscription broke: call again, with growing and jittered waits, so that it can be
-    /// answered before the rules count the list as told. A pushed one counts at once, and its agent has no price.
+    /// answered before the rules count the list as told. A pushed one counts at once; its agent has no price.
     fn on_broken_list(&mut self, now: Time) {
         let pushed = self.settings.discovery == Discovery::Pushed;
         let longest = if pushed { self.settings.drain_grace } else { self.settings.ask_within }.scale(0.5);
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -20,14 +20,14 @@
 const MAX_SIZE_LINE: usize = 256;
 /// A watch on which nothing changes says so this often (PROTOCOL, "Discovery").
 pub const BEAT: Duration = Duration::from_millis(2000);
-/// A watch is silent a little after one beat has failed to come, whatever bytes come: what it misses counts as told
-/// [`TOLD`] after the silence began, and a call for it may take 3 s.
+/// A watch is silent a little after one beat has failed to come, whatever bytes come: what it misses counts as
+/// told [`TOLD`] after the silence began, and a call for it may take 3 s.
 pub const QUIET: Duration = Duration::from_millis(2500);
-/// A call has failed unless it has told something whole by then, from its begin on. Discovery itself fails one that
-/// has waited 3 s.
+/// A call has failed unless it has told something whole by then, from its begin on. Discovery itself fails one
+/// that has waited 3 s.
 pub const CALL: Duration = Duration::from_millis(3500);
-/// A change counts as told so long after discovery had it and could be reached (STANDING, "One clock for silence");
-/// with the grace that the rule gives beside, nothing placed until then can break it.
+/// A change counts as told so long after discovery had it and could be reached (STANDING, "One clock for
+/// silence"); with the grace that the rule gives beside, nothing placed until then can break it.
 pub const TOLD: Span = Span::from_micros(6_000_000);
 /// Longest wait between two calls: [`TOLD`] less a call of 3 s, so that each call can be answered in time.
 pub const WAIT: Span = Span::from_micros(3_000_000);
@@ -95,8 +95,8 @@
 }
 
 impl News {
-    /// Whether it can be laid over a list of this version: a whole list always, changes unless they are older. A
-    /// service that begins anew counts its versions anew, and what it has changed before these changes is unknown.
+    /// Whether it can be laid over a list of this version: a whole list always, changes unless they are older.
+    /// A service that begins anew counts its versions anew, and what it changed before these changes is unknown.
     pub fn fits(&self, version: u64) -> bool {
         self.snapshot || self.index >= version
     }
@@ -115,12 +115,12 @@
 
 /// Until when the list is vouched for. It is told events and their times, and has no socket and no clock.
 ///
-/// While a watch that has answered is in step, the list stands. Whatever ends that, it stands for [`TOLD`] from the
-/// last whole object or beat on; for a new process, from its start on. Failures that follow change nothing: a 503, a
-/// reset or a time-out shows that something is there, which may have been told of a change meanwhile. A connection
-/// that is refused shows that nothing is there: no change can have been told since, and the time runs from that
-/// moment. It does so only as long as all that was found since the watch was in step is that nothing listens, and
-/// while the list still stands: else a change may count as told already.
+/// While a watch that has answered is in step, the list stands. Whatever ends that, it stands for [`TOLD`] from
+/// the last whole object or beat on; for a new process, from its start on. Failures that follow change nothing: a
+/// 503, a reset or a time-out shows that something is there, which may have known of a change meanwhile. A
+/// connection that is refused shows that nothing is there at that moment, and the time runs from it: discovery
+/// could not be reached. It does so only as long as nothing else was found since a watch was in step, and while
+/// the list still stands: else a change may count as told already.
 #[derive(Debug, Clone, Copy)]
 pub struct Vouching {
     /// None while a watch is in step.
@@ -140,8 +140,8 @@
         *self = Self { until: None, reached: false };
     }
 
-    /// A call or watch has ended now; the list was last in step at `since`. Until when it is vouched for, if that is
-    /// new.
+    /// A call or watch has ended now; the list was last in step at `since`. Until when it is vouched for, if that
+    /// is new.
     pub fn ended(&mut self, now: Time, since: Time, end: End) -> Option<Time> {
         let before = self.until;
         let until = before.unwrap_or(since + TOLD);
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -338,8 +338,8 @@
         Listing { state: if out { ServerState::Draining } else { listing.state }, ..listing.clone() }
     }
 
-    /// Such an entry, where servers that are out by judgement, and all while nothing is vouched for, drain for the
-    /// module alone.
+    /// Such an entry, where servers that are out by judgement, and all while nothing is vouched for, drain for
+    /// the module alone.
     fn masked(&self, listing: Listing) -> Listing {
         let out = self.unvouched || self.judged.contains(&listing.server);
         let out = out && listing.state == ServerState::Ready;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -103,8 +103,8 @@
         let mut stream = timeout_at(deadline, ask).await.map_err(|_| late())??;
         let (mut codec, mut buffer) = (WatchCodec::default(), BytesMut::with_capacity(ROOM));
         loop {
-            // Bytes alone put nothing off. What has come by the deadline is read first, also by a process that
-            // stalled and wakes late.
+            // Bytes alone put nothing off. What has come by the deadline is read first, also by a process
+            // that stalled and wakes late.
             let Ok(read) = timeout_at(deadline, stream.read_buf(&mut buffer)).await else {
                 let silent = self.in_step.elapsed();
                 return Err(if self.answered { WatchError::Silent(silent) } else { late().into() });
--- a/src/net/report.rs
+++ b/src/net/report.rs
@@ -100,8 +100,8 @@
     Relayed(News),
     /// What other processes of this balancer hold, by server, and what operators have called out there.
     Beside(BTreeMap<String, Share>, Cordons),
-    /// Discovery has answered on the watch of this number, and what came with the answer has been told: nothing is
-    /// missed any longer.
+    /// Discovery has answered on the watch of this number, and what came with the answer has been told: nothing
+    /// is missed any longer.
     Watching(u64),
     /// A call or watch is over.
     WatchEnded {
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -1,5 +1,5 @@
-//! News of the list that cross: calls that fail, watches that end, a discovery that moves or begins anew. The peer
-//! forces the order; what takes seconds is the time that is tested.
+//! News of the list that cross: calls that fail, watches that end, a discovery that moves or begins anew. The
+//! peer forces the order; what takes seconds is the time that is tested.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -205,7 +205,7 @@
     assert_eq!(stands(&mut Vouching::new(at(5.0)), &[(9.0, 5.0, Failed)]), at(11.0));
     assert_eq!(stands(&mut Vouching::new(at(5.0)), &[(5.5, 5.0, Refused)]), at(11.5));
     for end in [Closed, Failed, Refused] {
-        // Whatever ended it; and at once where that was long ago, as after 13 s of silence in a stalled process.
+        // Whatever ended it; and at once where that was long ago, as for a process that stalled for 13 s.
         let first = if end == Refused { at(21.0) } else { at(20.0) };
         assert_eq!(stands(&mut in_step(), &[(15.0, 14.0, end)]), first, "{end:?}");
         assert_eq!(stands(&mut in_step(), &[(27.0, 14.0, end)]), at(20.0), "{end:?}");
@@ -921,8 +921,8 @@
         }
     }
 
-    /// Until all are in step again, or 60 s. How long that took in seconds, how many calls, the most in 100 ms that
-    /// were not a gateway's first, and the longest time that a gateway placed nothing.
+    /// Until all are in step again, or 60 s. How long that took in seconds, how many calls, the most in 100 ms
+    /// that were not a gateway's first, and the longest time that a gateway placed nothing.
     fn run(mut self) -> (f64, usize, usize, f64) {
         let start = self.now;
         while self.again.iter().any(Option::is_none) {
