Customers kept apart: names once, reloads against what runs, files with their owner

Cause: classes and tenants are numbered by name but their settings go by place, so a name that stood twice gave requests another class's settings; a reload compared with the last file read; files and sockets in $TMPDIR were taken from whoever had left them under the same sanitised name. Change: Facts::check refuses a name that stands twice; Standing compares with what runs, and errors name the file; Deployment says whose a process, a word or a file is, and Deployment::same is the one place that compares; reads are bounded, another's file and socket are left alone, ours is kept beside it; silent processes are met all at once and their links kept; a stop waits for no file that hangs.

--- a/crates/ashtide-rehearsal/src/daemon.rs
+++ b/crates/ashtide-rehearsal/src/daemon.rs
@@ -222,6 +222,36 @@
         self.signal(Signal::HUP)
     }
 
+    /// The configuration as it was last written.
+    pub fn config(&self) -> &Value {
+        &self.config
+    }
+
+    /// Where the configuration file is.
+    pub fn config_file(&self) -> PathBuf {
+        self.files.join("config.json")
+    }
+
+    /// What it has logged so far.
+    pub fn said(&self) -> Vec<String> {
+        self.said.borrow().clone()
+    }
+
+    /// Waits until its log is so.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it does not become so.
+    pub async fn log_has(
+        &self,
+        what: &'static str,
+        holds: impl Fn(&[String]) -> bool,
+    ) -> Result<(), RehearsalError> {
+        let holds = |said: &Vec<String>| holds(said);
+        within(what, self.said.clone().wait_for(holds)).await?.map_err(|_| RehearsalError::Late(what))?;
+        Ok(())
+    }
+
     /// Sends SIGHUP to this daemon.
     ///
     /// # Errors
--- a/src/config.rs
+++ b/src/config.rs
@@ -41,6 +41,29 @@
         /// What is wrong with it.
         problem: String,
     },
+    /// What a file says cannot be used.
+    #[error("{error}, in {path}")]
+    In {
+        /// Which file.
+        path: PathBuf,
+        /// What is wrong, with its key.
+        error: Box<ConfigError>,
+    },
+}
+
+impl ConfigError {
+    /// The error of a key of this file; a variable's is not the file's.
+    fn of(self, path: &Path) -> Self {
+        let key = match &self {
+            Self::Missing(key) => key,
+            Self::Value { key, .. } => key.as_str(),
+            Self::File { .. } | Self::In { .. } => return self,
+        };
+        if key.starts_with("ROUTER_") && key != "ROUTER_CONFIG" {
+            return self;
+        }
+        Self::In { path: path.to_owned(), error: Box::new(self) }
+    }
 }
 
 fn bad(key: impl Into<String>, problem: impl ToString) -> ConfigError {
@@ -168,8 +191,8 @@
 pub struct Standing {
     /// The file, where there is one.
     path: PathBuf,
-    /// Values of [`AT_START`] as last read.
-    fixed: Vec<Value>,
+    /// Values of [`AT_START`] that run: those of the start, whatever was read since.
+    runs: Vec<Value>,
 }
 
 impl Config {
@@ -191,6 +214,8 @@
     pub discovery: SocketAddr,
     /// Keys that have changed and need a restart.
     pub restart: Vec<&'static str>,
+    /// What is legal and perhaps not meant.
+    pub remarks: Vec<String>,
 }
 
 impl Standing {
@@ -203,9 +228,9 @@
     /// # Errors
     ///
     /// Fails on a missing or unusable key, and says which; what runs is to be kept then.
-    pub fn read(&mut self, var: impl Fn(&str) -> Option<String>) -> Result<Reloaded, ConfigError> {
+    pub fn read(&self, var: impl Fn(&str) -> Option<String>) -> Result<Reloaded, ConfigError> {
         let json = read_json(&self.path)?;
-        self.reload(json, var)
+        self.reload(json, var).map_err(|error| error.of(&self.path))
     }
 
     /// Checks the file's new object. The environment was set at the start and cannot follow the
@@ -214,19 +239,14 @@
     /// # Errors
     ///
     /// Fails on a missing or unusable key, and says which.
-    pub fn reload(
-        &mut self,
-        json: Value,
-        var: impl Fn(&str) -> Option<String>,
-    ) -> Result<Reloaded, ConfigError> {
+    pub fn reload(&self, json: Value, var: impl Fn(&str) -> Option<String>) -> Result<Reloaded, ConfigError> {
         let file_first = json["discovery"] != Value::Null;
         let fixed = Self::fixed(&json);
         let var = |name: &str| (name != "ROUTER_DISCOVERY" || !file_first).then(|| var(name)).flatten();
         let config = Config::from_json(json, var)?;
-        let changed = AT_START.into_iter().zip(self.fixed.iter().zip(&fixed));
-        let restart = changed.filter(|(_, (old, new))| old != new).map(|(key, _)| key).collect();
-        self.fixed = fixed;
-        Ok(Reloaded { discovery: config.discovery, restart })
+        let changed = AT_START.into_iter().zip(self.runs.iter().zip(&fixed));
+        let restart = changed.filter(|(_, (runs, new))| runs != new).map(|(key, _)| key).collect();
+        Ok(Reloaded { discovery: config.discovery, restart, remarks: config.facts.remarks() })
     }
 }
 
@@ -288,7 +308,7 @@
     /// Fails on a missing or unusable key, and says which.
     pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let path = PathBuf::from(var("ROUTER_CONFIG").ok_or(ConfigError::Missing("ROUTER_CONFIG"))?);
-        let mut config = Self::from_json(read_json(&path)?, var)?;
+        let mut config = Self::from_json(read_json(&path)?, var).map_err(|error| error.of(&path))?;
         config.standing.path = path;
         Ok(config)
     }
@@ -299,7 +319,7 @@
     ///
     /// Fails on a missing or unusable key, and says which.
     pub fn from_json(mut json: Value, var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
-        let standing = Standing { path: PathBuf::new(), fixed: Standing::fixed(&json) };
+        let standing = Standing { path: PathBuf::new(), runs: Standing::fixed(&json) };
         let Value::Object(keys) = &mut json else {
             return Err(bad("ROUTER_CONFIG", "no object in the file"));
         };
@@ -320,6 +340,7 @@
         let listen = told.listen.ok_or(ConfigError::Missing("listen"))?;
         let discovery = told.discovery.ok_or(ConfigError::Missing("discovery"))?;
         let facts = told.settings.ok_or(ConfigError::Missing("settings"))?;
+        facts.check().map_err(|error| bad(format!("settings.{}", error.key), error.problem))?;
         let inherited = var("ROUTER_INHERITED_FD")
             .map(|value| value.parse().map_err(|e| bad("ROUTER_INHERITED_FD", format!("'{value}': {e}"))))
             .transpose()?;
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -1,7 +1,7 @@
 //! The settings object, as the simulator's first message and the daemon's configuration carry it.
 //! Unknown keys are skipped.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use serde::Deserialize;
 use serde_inline_default::serde_inline_default;
@@ -187,6 +187,16 @@
     overload_for: f64,
 }
 
+/// A name that stands twice in a list of the settings.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{key}: {problem}")]
+pub struct TwiceError {
+    /// The second place where it stands.
+    pub key: String,
+    /// The name, and why it may stand once only.
+    pub problem: String,
+}
+
 /// Takes out every `null`: it says no more than a missing key does.
 pub(crate) fn drop_nulls(value: &mut Value) {
     match value {
@@ -207,11 +217,52 @@
 }
 
 impl Facts {
-    /// Reads the object; keys of the wrong type and unknown effects are errors, and name the key.
+    /// Reads the object; keys of the wrong type, unknown effects and names that stand twice are errors, and name
+    /// the key.
     pub fn parse(text: &str) -> Result<Self, String> {
         let mut value = serde_json::from_str(text).map_err(|e| e.to_string())?;
         drop_nulls(&mut value);
-        serde_path_to_error::deserialize(&value).map_err(|e| e.to_string())
+        let facts: Self = serde_path_to_error::deserialize(&value).map_err(|e| e.to_string())?;
+        facts.check().map_err(|e| e.to_string())?;
+        Ok(facts)
+    }
+
+    /// Requests ask by name and everything else goes by place, so each name of a list stands once: behind a
+    /// second one every place would be another's, and requests would be judged by settings not their own. An
+    /// empty name is one like others, as `c=` asks for it.
+    ///
+    /// # Errors
+    ///
+    /// Says which name stands twice, and where.
+    pub fn check(&self) -> Result<(), TwiceError> {
+        let classes: Vec<&str> = self.classes.iter().map(|it| it.name.as_str()).collect();
+        let customers: Vec<&str> = self.customers.iter().map(|it| it.name.as_str()).collect();
+        for (list, names) in [("classes", classes), ("customers", customers)] {
+            let mut seen = HashSet::new();
+            if let Some(at) = names.iter().position(|name| !seen.insert(*name)) {
+                let problem =
+                    format!("'{}' stands twice; requests ask by name, so name each once", names[at]);
+                return Err(TwiceError { key: format!("{list}[{at}].name"), problem });
+            }
+        }
+        Ok(())
+    }
+
+    /// What is legal and perhaps not meant: a list that goes by the places of another and has another length.
+    /// The pages give these lists a figure for each class and each customer and don't say what a shorter one
+    /// means, so nothing is refused: what has no figure counts as not limited, and what is over is not used.
+    pub fn remarks(&self) -> Vec<String> {
+        let info = &self.family_info;
+        let (aims, quotas) = (info.message_aim.len(), info.tenant_quota_connections.len());
+        let lists = [
+            ("messageAim", aims, "classes", self.classes.len()),
+            ("tenantQuotaConnections", quotas, "customers", self.customers.len()),
+        ];
+        let odd = lists.into_iter().filter(|&(_, told, _, due)| told > 0 && told != due);
+        odd.map(|(key, told, of, due)| {
+            format!("settings.familyInfo.{key}: {told} figures for {due} {of}, taken by place")
+        })
+        .collect()
     }
 
     /// The names that the settings define.
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -1,7 +1,9 @@
 //! What two processes of one balancer tell each other, and what outlives them. Knows no socket and no
 //! file: lines of JSON in and out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::SocketAddr;
 
 use bytes::{Buf, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -26,6 +28,58 @@
     Io(#[from] std::io::Error),
 }
 
+/// Whose a process, its words and its file are: several deployments may share a folder, also under one name.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Deployment {
+    /// The balancer's whole name; in names of files some characters are replaced.
+    pub name: String,
+    /// Where it takes clients; none where the system chose the port.
+    pub listen: Option<SocketAddr>,
+    /// The kernel's number of the listener, where it is inherited.
+    pub socket: Option<u64>,
+    /// The classes of its settings.
+    pub classes: BTreeSet<String>,
+    /// The customers of its settings.
+    pub tenants: BTreeSet<String>,
+}
+
+impl Deployment {
+    /// Whether two are the same deployment, so that one goes by what the other has told or kept.
+    ///
+    /// What does not say whose it is never comes here and is taken: versions before 2026-12-02 told only the place,
+    /// and an upgrade from one must not lose what operators have called out.
+    ///
+    /// - Another name is another balancer's: it is what stays the same over restarts.
+    /// - Who shares a listener has the same clients, whatever else differs: an upgrade may rename all classes.
+    /// - One that listens elsewhere is another: only one can have an address, and an upgrade keeps it.
+    /// - One that serves none of the same customers is another customer's. Where either names none, that goes
+    ///   for classes. A name in common is enough, as any may be added, removed or renamed.
+    pub fn same(&self, other: &Self) -> bool {
+        if self.name != other.name {
+            return false;
+        }
+        if self.listen == other.listen && self.socket.is_some() && self.socket == other.socket {
+            return true;
+        }
+        if self.listen.zip(other.listen).is_some_and(|(one, two)| one != two) {
+            return false;
+        }
+        let common = |one: &BTreeSet<String>, two: &BTreeSet<String>| {
+            let told = !one.is_empty() && !two.is_empty();
+            told.then(|| !one.is_disjoint(two))
+        };
+        common(&self.tenants, &other.tenants).or(common(&self.classes, &other.classes)).unwrap_or(true)
+    }
+}
+
+impl fmt::Display for Deployment {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(to, "'{}'", self.name)?;
+        self.listen.map_or(Ok(()), |listen| write!(to, " on {listen}"))
+    }
+}
+
 /// What a process holds on one server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -40,6 +94,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct State {
+    /// Whose process it is.
+    pub whose: Option<Deployment>,
     /// When it started, in microseconds of Unix time: the younger is the successor.
     pub started: u64,
     /// Whether it takes clients.
@@ -264,6 +320,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Kept {
+    /// Whose it is.
+    pub whose: Option<Deployment>,
     /// The run has begun.
     pub begun: bool,
     /// What operators have called out.
--- a/src/main.rs
+++ b/src/main.rs
@@ -48,6 +48,7 @@
 
 fn start(files: Files) -> Result<(), Box<dyn std::error::Error>> {
     let config = Config::read(|name| std::env::var(name).ok())?;
+    config.facts.remarks().iter().for_each(|remark| info!("ashtide: {remark}"));
     // The platform names no deploy file.
     let fronts = files.fronts.as_deref().map(Fronts::read).transpose()?.unwrap_or_default();
     let view = files.view.as_deref().map(Settings::read).transpose().map_err(ViewError::told)?;
@@ -68,7 +69,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let work = files.maintenance.as_deref().map(work::Settings::read).transpose();
     let work = work.map_err(MaintenanceError::told)?;
-    runtime.block_on(run(config, fronts, view, work, quota))
+    let end = runtime.block_on(run(config, fronts, view, work, quota));
+    // A file that a reload still reads, on a disk that hangs, is not waited for.
+    runtime.shutdown_background();
+    end
 }
 
 async fn run(
@@ -91,7 +95,8 @@
     let others = fronts.quic.as_ref().map_or(0, |quic| quic.paths);
     let room = config.room(others);
     let lobby = Lobby::new(room);
-    let place = config.folder.as_deref().map(|folder| Place::new(folder, &config.name));
+    let whose = handover::deployment(&config, &listener);
+    let place = config.folder.as_deref().map(|folder| Place::of(folder, whose.clone()));
     let kept = place.as_ref().map(Place::kept).unwrap_or_default();
     let met = match &place {
         Some(place) => Some(handover::meet(place, started).await),
@@ -104,7 +109,7 @@
     let relayed = met.as_ref().and_then(|met| met.list.clone());
     let known = [config.known.clone(), relayed].into_iter().flatten().max_by_key(|list| list.index);
     let inbox = place.as_ref().and_then(|place| place.receive(started));
-    let state = State { started, adopts: inbox.is_some(), ..State::default() };
+    let state = State { whose: Some(whose), started, adopts: inbox.is_some(), ..State::default() };
     let (heirs, heir) = watch::channel(None);
     let own = config.kept_sockets(others);
     let post = Post::new(lobby.clone(), place.clone(), kept, own, state, heir.clone());
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -1,15 +1,19 @@
 //! Meets the other process of this balancer at a Unix socket in `$TMPDIR`, and keeps a file there.
 
 use std::collections::BTreeMap;
-use std::io;
+use std::fs::File;
+use std::io::{self, Read};
+use std::os::fd::AsFd;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, LazyLock, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use futures_util::StreamExt;
+use futures_util::future::join_all;
 use tokio::io::AsyncWriteExt;
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{UnixListener, UnixStream};
+use tokio::net::{TcpListener, UnixListener, UnixStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::FramedRead;
@@ -18,8 +22,9 @@
 use super::lobby::Lobby;
 use super::passing::{Heir, Inbox};
 use super::report::{Handle, Report};
+use crate::config::Config;
 use crate::discovery::News;
-use crate::handover::{Call, Cordons, Kept, Others, Share, State, Word, WordCodec};
+use crate::handover::{Call, Cordons, Deployment, Kept, MAX_WORD, Others, Share, State, Word, WordCodec};
 
 /// How long a younger process waits for what the older has to tell, before it serves without.
 const MEET: Duration = Duration::from_millis(500);
@@ -27,6 +32,12 @@
 const WRITE: Duration = Duration::from_secs(1);
 /// Processes of one balancer that may meet; an upgrade has two.
 const LINKS: usize = 4;
+/// Sockets of the same name that are tried, the youngest first: other deployments' may be among them.
+const TRIED: usize = 16;
+/// Files of the same name that are looked at for ours, as others may be other deployments'.
+const FILES: usize = 8;
+/// The longest file that is read; what is longer is none of ours.
+const MAX_KEPT: u64 = MAX_WORD as u64;
 /// After an accept that failed, the next one waits a little.
 const AFTER_FAILURE: Duration = Duration::from_millis(100);
 
@@ -39,24 +50,69 @@
     pub list: Option<Arc<News>>,
 }
 
+/// Whose the process is that was told this and takes clients at this listener.
+pub fn deployment(config: &Config, listener: &TcpListener) -> Deployment {
+    let names = config.facts.names();
+    let all = |names: &[String]| names.iter().cloned().collect();
+    let (listen, socket) = match config.inherited {
+        Some(_) => {
+            let copy = listener.as_fd().try_clone_to_owned().ok();
+            let number = copy.and_then(|copy| Some(File::from(copy).metadata().ok()?.ino()));
+            (listener.local_addr().ok(), number)
+        }
+        None => (Some(config.listen).filter(|listen| listen.port() != 0), None),
+    };
+    Deployment {
+        name: config.name.clone(),
+        listen,
+        socket,
+        classes: all(names.classes.names()),
+        tenants: all(names.tenants.names()),
+    }
+}
+
+/// What a file is to this process.
+enum Found {
+    /// There is none.
+    Nothing,
+    /// Ours; or perhaps so, as it does not say whose it is.
+    Ours(Kept),
+    /// It cannot be read by anyone, and why.
+    Torn(String),
+    /// It is left alone, and why.
+    Other(String),
+}
+
 /// A place where the processes of one balancer meet, and what is kept there.
 #[derive(Debug, Clone)]
 pub struct Place {
     folder: PathBuf,
     /// What all names here begin with: several balancers may share a folder.
     name: String,
+    whose: Arc<Deployment>,
 }
 
 impl Place {
-    /// The balancer's place in a folder.
+    /// The place in a folder of a balancer of which no more than the name is known.
     pub fn new(folder: &Path, balancer: &str) -> Self {
+        Self::of(folder, Deployment { name: balancer.to_owned(), ..Deployment::default() })
+    }
+
+    /// This deployment's place in a folder.
+    pub fn of(folder: &Path, whose: Deployment) -> Self {
         let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
         Self {
             folder: folder.to_owned(),
-            name: format!("ashtide.{}", balancer.replace(|c| plain(c) != c, "_")),
+            name: format!("ashtide.{}", whose.name.replace(|c| plain(c) != c, "_")),
+            whose: Arc::new(whose),
         }
     }
 
+    /// Whose place it is.
+    pub fn whose(&self) -> &Deployment {
+        &self.whose
+    }
+
     /// A file of the balancer's, beside its others, that ends like this.
     pub fn beside(&self, ending: &str) -> PathBuf {
         self.folder.join(format!("{}.{ending}", self.name))
@@ -83,18 +139,73 @@
         let _ = std::fs::remove_file(self.inbox(started));
     }
 
-    fn file(&self) -> PathBuf {
-        self.beside("kept")
+    fn file(&self, number: usize) -> PathBuf {
+        match number {
+            1 => self.beside("kept"),
+            _ => self.beside(&format!("{number}.kept")),
+        }
     }
 
-    /// What earlier processes have kept; nothing where there is no file or it cannot be read.
+    fn look(&self, path: &Path) -> Found {
+        let read = || -> io::Result<Option<Vec<u8>>> {
+            // Neither waits at a pipe nor reads what has no end.
+            let told = std::fs::metadata(path)?;
+            if !told.is_file() || told.len() > MAX_KEPT {
+                return Ok(None);
+            }
+            let mut text = Vec::new();
+            File::open(path)?.take(MAX_KEPT + 1).read_to_end(&mut text)?;
+            Ok(Some(text).filter(|text| text.len() as u64 <= MAX_KEPT))
+        };
+        let text = match read() {
+            Ok(Some(text)) => text,
+            Ok(None) => return Found::Other(format!("no file of at most {MAX_KEPT} bytes")),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Found::Nothing,
+            Err(error) => return Found::Other(error.to_string()),
+        };
+        match serde_json::from_slice::<Kept>(&text) {
+            Err(error) => Found::Torn(error.to_string()),
+            Ok(kept) => match &kept.whose {
+                Some(other) if !self.whose.same(other) => Found::Other(format!("it is {other}'s")),
+                _ => Found::Ours(kept),
+            },
+        }
+    }
+
+    /// Our file and what is in it, else the first place that is free; `say` hears of what is passed over.
+    /// Another deployment's is left as it is, and ours stands beside it under the next number.
+    fn find(&self, mut say: impl FnMut(&Path, &str)) -> Option<(PathBuf, Found)> {
+        let mut best: Option<(PathBuf, Found)> = None;
+        for number in 1..=FILES {
+            let path = self.file(number);
+            let found = self.look(&path);
+            match &found {
+                Found::Ours(Kept { whose: Some(_), .. }) => return Some((path, found)),
+                Found::Other(why) => say(&path, why),
+                // What does not say whose it is goes before what nobody has.
+                Found::Ours(_) if !matches!(best, Some((_, Found::Ours(_)))) => best = Some((path, found)),
+                _ => best = best.or(Some((path, found))),
+            }
+        }
+        best
+    }
+
+    /// What earlier processes of this deployment have kept; nothing where there is no file or it cannot be read.
     pub fn kept(&self) -> Kept {
-        match std::fs::read(self.file()) {
-            Ok(text) => serde_json::from_slice(&text).unwrap_or_else(|error| {
-                info!("handover: {}: {error}; begun anew", self.file().display());
+        let other = |path: &Path, why: &str| {
+            info!(
+                "handover: {}: {why}; left alone, ours is kept beside it; give each balancer a name or \
+                 a TMPDIR of its own, or remove it if it is nobody's",
+                path.display()
+            );
+        };
+        match self.find(other) {
+            Some((_, Found::Ours(kept))) => kept,
+            Some((path, Found::Torn(error))) => {
+                info!("handover: {}: {error}; begun anew", path.display());
                 Kept::default()
-            }),
-            Err(_) => Kept::default(),
+            }
+            _ => Kept::default(),
         }
     }
 
@@ -102,34 +213,39 @@
     ///
     /// # Errors
     ///
-    /// Fails where the folder cannot be written.
+    /// Fails where the folder cannot be written, or all files of this name are other deployments'.
     pub fn keep(&self, kept: &Kept) -> io::Result<()> {
+        let kept = Kept { whose: Some(self.whose().clone()), ..kept.clone() };
         let next = self.folder.join(format!("{}.{}.next", self.name, std::process::id()));
-        std::fs::write(&next, serde_json::to_vec(kept)?)?;
-        std::fs::rename(&next, self.file())
-    }
-
-    /// Connects to all that listen here. What a killed process has left is taken away.
-    async fn older(&self) -> Vec<UnixStream> {
-        let mut links = Vec::new();
-        for entry in std::fs::read_dir(&self.folder).into_iter().flatten().flatten() {
-            let name = entry.file_name();
-            let ours = name
-                .to_str()
-                .is_some_and(|n| n.starts_with(&format!("{}.", self.name)) && n.ends_with(".sock"));
-            if !ours || links.len() == LINKS {
-                continue;
-            }
-            match timeout(MEET, UnixStream::connect(entry.path())).await {
-                Ok(Ok(link)) => links.push(link),
-                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                    let _ = std::fs::remove_file(entry.path());
-                    let _ = std::fs::remove_file(entry.path().with_extension("inbox"));
+        std::fs::write(&next, serde_json::to_vec(&kept)?)?;
+        for _ in 0..FILES {
+            let Some((path, found)) = self.find(|_, _| ()) else { break };
+            if matches!(found, Found::Nothing) {
+                // Another deployment may take the name at this moment: only one of the two gets it.
+                match std::fs::hard_link(&next, &path) {
+                    Ok(()) => return std::fs::remove_file(&next),
+                    Err(error) if error.kind() == io::ErrorKind::AlreadyExists => continue,
+                    // Not all file systems have such links.
+                    Err(_) => {}
                 }
-                _ => {}
             }
+            return std::fs::rename(&next, &path);
         }
-        links
+        let _ = std::fs::remove_file(&next);
+        Err(io::Error::other(format!("all {FILES} files of this name are other deployments'")))
+    }
+
+    /// The sockets of this name, the youngest first.
+    fn sockets(&self) -> Vec<PathBuf> {
+        let started = |path: &Path| {
+            let name = path.file_name()?.to_str()?.strip_prefix(&self.name)?.strip_prefix('.')?;
+            name.strip_suffix(".sock")?.parse::<u64>().ok()
+        };
+        let entries = std::fs::read_dir(&self.folder).into_iter().flatten().flatten();
+        let mut all: Vec<_> =
+            entries.map(|entry| entry.path()).filter_map(|path| Some((started(&path)?, path))).collect();
+        all.sort_unstable_by(|one, two| two.cmp(one));
+        all.into_iter().take(TRIED).map(|(_, path)| path).collect()
     }
 }
 
@@ -194,7 +310,8 @@
         let sockets = self.own + self.lobby.sockets();
         self.telling.send_modify(|telling| {
             let cordons = self.kept.cordons.clone();
-            telling.state = State { ready, begun, sockets, shares, cordons, ..telling.state };
+            let whose = telling.state.whose.take();
+            telling.state = State { whose, ready, begun, sockets, shares, cordons, ..telling.state };
         });
     }
 
@@ -232,42 +349,75 @@
     fn keep(&self) {
         let Some(place) = &self.place else { return };
         if let Err(error) = place.keep(&self.kept) {
-            info!("handover: {}: {error}", place.file().display());
+            info!("handover: {}: {error}", place.beside("kept").display());
         }
     }
 }
 
+/// A link to a process that was met.
+struct Link {
+    words: Reader,
+    write: OwnedWriteHalf,
+    /// How the other stands; nothing where it has told nothing yet.
+    state: Option<State>,
+}
+
 /// What older processes have told at the meeting, and the links to them.
 pub struct Met {
-    links: Vec<(Reader, OwnedWriteHalf, State)>,
+    links: Vec<Link>,
     listener: Option<UnixListener>,
     /// Their list, where they have one.
     pub list: Option<News>,
 }
 
-/// Meets those that run already, then listens for those to come. Never fails: alone is alone.
-pub async fn meet(place: &Place, started: u64) -> Met {
-    let mut met = Met { links: Vec::new(), listener: None, list: None };
-    for link in place.older().await {
-        let (read, write) = link.into_split();
-        let mut words = FramedRead::new(read, WordCodec::default());
-        let told = async {
+/// Connects to the process that listens here, and waits a while for what it tells.
+async fn greet(path: PathBuf) -> Option<(PathBuf, Link, Option<News>)> {
+    match timeout(MEET, UnixStream::connect(&path)).await {
+        Ok(Ok(link)) => {
+            let (read, write) = link.into_split();
+            let mut words = FramedRead::new(read, WordCodec::default());
             let mut list = None;
-            while let Some(Ok(word)) = words.next().await {
-                match word {
-                    Word::List(news) => list = Some(news),
-                    Word::State(state) => return Some((list, state)),
+            let told = async {
+                while let Some(Ok(word)) = words.next().await {
+                    match word {
+                        Word::List(news) => list = Some(news),
+                        Word::State(state) => return Some(state),
+                    }
                 }
-            }
+                None
+            };
+            let state = timeout(MEET, told).await.ok().flatten();
+            Some((path, Link { words, write, state }, list))
+        }
+        // What a killed process has left; one that is there but full answers otherwise.
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            let _ = std::fs::remove_file(&path);
+            let _ = std::fs::remove_file(path.with_extension("inbox"));
             None
-        };
-        match timeout(MEET, told).await {
-            Ok(Some((list, state))) => {
+        }
+        _ => None,
+    }
+}
+
+/// Meets those that run already, all at once, then listens for those to come. Never fails: alone is alone.
+/// Another deployment's process is left alone, and its socket, too.
+pub async fn meet(place: &Place, started: u64) -> Met {
+    let mut met = Met { links: Vec::new(), listener: None, list: None };
+    let greeted = join_all(place.sockets().into_iter().map(greet)).await;
+    for (path, link, list) in greeted.into_iter().flatten() {
+        match &link.state {
+            Some(State { whose: Some(other), .. }) if !place.whose.same(other) => {
+                info!("handover: {}: {}", path.display(), NotMet(other));
+                continue;
+            }
+            Some(state) => {
                 info!("handover: met an older process, {} connections by server", state.shares.len());
                 met.list = list.or(met.list);
-                met.links.push((words, write, state));
             }
-            _ => info!("handover: an older process tells nothing"),
+            None => info!("handover: an older process tells nothing"),
+        }
+        if met.links.len() < LINKS {
+            met.links.push(link);
         }
     }
     let path = place.socket(started);
@@ -279,10 +429,23 @@
     met
 }
 
+/// Says why another deployment's process is left alone.
+struct NotMet<'a>(&'a Deployment);
+
+impl std::fmt::Display for NotMet<'_> {
+    fn fmt(&self, to: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let other = self.0;
+        write!(
+            to,
+            "a process of another deployment, {other}; left alone, give each a name or a TMPDIR of its own"
+        )
+    }
+}
+
 impl Met {
     /// What those that were met are, together.
     pub fn others(&self, started: u64) -> Others {
-        Others::sum(started, self.links.iter().map(|(.., state)| state))
+        Others::sum(started, self.links.iter().filter_map(|link| link.state.as_ref()))
     }
 }
 
@@ -312,9 +475,10 @@
     let started = telling.borrow().state.started;
     let links = Links { started, states: Arc::default(), telling, lobby, accepting, core, place, heirs };
     let mut number = 0;
-    for (words, write, state) in met.links {
-        links.set(number, Some(state)).await;
-        tokio::spawn(links.clone().link(number, words, write));
+    for Link { words, write, state } in met.links {
+        let ours = state.is_some();
+        links.set(number, Some(state.unwrap_or_default())).await;
+        tokio::spawn(links.clone().link(number, words, write, ours));
         number += 1;
     }
     let Some(listener) = met.listener else { return };
@@ -329,19 +493,32 @@
         number += 1;
         let (read, write) = link.into_split();
         links.set(number, Some(State::default())).await;
-        tokio::spawn(links.clone().link(number, FramedRead::new(read, WordCodec::default()), write));
+        tokio::spawn(links.clone().link(number, FramedRead::new(read, WordCodec::default()), write, false));
     }
 }
 
 impl Links {
-    async fn link(mut self, number: u64, mut words: Reader, mut write: OwnedWriteHalf) {
-        let mut told = None;
+    /// Keeps one link; `ours` where the other end has said whose it is already. Before it does, none of its
+    /// words is taken.
+    async fn link(mut self, number: u64, mut words: Reader, mut write: OwnedWriteHalf, mut ours: bool) {
+        let (mut told, mut early) = (None, None);
         self.telling.mark_changed();
         loop {
             tokio::select! {
                 word = words.next() => match word {
-                    Some(Ok(Word::State(state))) => self.set(number, Some(state)).await,
-                    Some(Ok(Word::List(news))) => self.core.tell(Report::Relayed(news)).await,
+                    Some(Ok(Word::State(State { whose: Some(other), .. }))) if !self.place.whose.same(&other) => {
+                        info!("handover: {}", NotMet(&other));
+                        break;
+                    }
+                    Some(Ok(Word::State(state))) => {
+                        ours = true;
+                        self.set(number, Some(state)).await;
+                        if let Some(news) = early.take() {
+                            self.core.tell(Report::Relayed(news)).await;
+                        }
+                    }
+                    Some(Ok(Word::List(news))) if ours => self.core.tell(Report::Relayed(news)).await,
+                    Some(Ok(Word::List(news))) => early = Some(news),
                     Some(Err(error)) => {
                         info!("handover: {error}");
                         break;
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
@@ -39,22 +40,19 @@
 /// file that cannot be used changes nothing, and hang-ups that come while one is read count as one.
 pub async fn follow(
     mut hangups: Signal,
-    mut standing: Standing,
+    standing: Standing,
     discovery: watch::Sender<SocketAddr>,
     quotas: Option<Quotas>,
 ) {
+    let standing = Arc::new(standing);
     while hangups.recv().await.is_some() {
         if let Some(quotas) = &quotas {
             quotas.read().await;
         }
-        let mut reading = standing.clone();
-        let read = tokio::task::spawn_blocking(move || {
-            let reloaded = reading.read(|name| std::env::var(name).ok());
-            (reading, reloaded)
-        });
+        let reading = standing.clone();
+        let read = tokio::task::spawn_blocking(move || reading.read(|name| std::env::var(name).ok()));
         match read.await {
-            Ok((read, Ok(reloaded))) => {
-                standing = read;
+            Ok(Ok(reloaded)) => {
                 let moved = discovery.send_if_modified(|address| {
                     std::mem::replace(address, reloaded.discovery) != reloaded.discovery
                 });
@@ -63,8 +61,11 @@
                 for key in reloaded.restart {
                     info!("reload: {key} has changed and takes effect at a restart only");
                 }
+                for remark in reloaded.remarks {
+                    info!("reload: {remark}");
+                }
             }
-            Ok((_, Err(error))) => info!("reload: {error}; what runs is kept"),
+            Ok(Err(error)) => info!("reload: {error}; what runs is kept"),
             Err(error) => info!("reload: {error}; what runs is kept"),
         }
     }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -171,6 +171,14 @@
             "settings.classes[0].effect: ",
         ),
         (format!(r#"{{{head},"settings":{{}},"peer_listen":"127.0.0.1:3","peers":["x"]}}"#), "peers[0]: "),
+        (
+            format!(r#"{{{head},"settings":{{"classes":[{{"name":"x"}},{{"name":"x"}}]}}}}"#),
+            "settings.classes[1].name: 'x' stands twice",
+        ),
+        (
+            format!(r#"{{{head},"settings":{{"customers":[{{"name":"t"}},{{"name":""}},{{"name":"t"}}]}}}}"#),
+            "settings.customers[2].name: 't' stands twice",
+        ),
         // What the environment says is at fault goes by the variable's name, whatever the file says.
         (format!(r#"{{{head},"operator":"the door"}}"#), "ROUTER_OPERATOR: 'door'"),
         ("[]".to_owned(), "ROUTER_CONFIG: "),
@@ -198,15 +206,18 @@
         serde_json::Value::from_iter(keys.into_iter().zip(values))
     };
     let told = |name: &str| (name == "ROUTER_DISCOVERY").then(|| "127.0.0.1:7".to_owned());
-    let mut config = Config::from_json(file("127.0.0.1:2", 256), told).unwrap();
+    let config = Config::from_json(file("127.0.0.1:2", 256), told).unwrap();
     assert_eq!(config.discovery.port(), 7);
-    let mut reload = |discovery: &str, sockets| config.standing.reload(file(discovery, sockets), told);
+    let reload = |discovery: &str, sockets| config.standing.reload(file(discovery, sockets), told);
     let good = reload("127.0.0.1:3", 256).unwrap();
     assert_eq!((good.discovery.port(), good.restart), (3, vec![]));
     assert!(reload("nowhere", 512).unwrap_err().to_string().starts_with("discovery: 'nowhere'"));
     // What was unusable has not taken the place of what runs.
     let changed = reload("127.0.0.1:4", 512).unwrap();
     assert_eq!((changed.discovery.port(), changed.restart), (4, vec!["limits"]));
+    // Told again as long as the file differs from what runs, and no longer once it is put back.
+    assert_eq!(reload("127.0.0.1:4", 512).unwrap().restart, ["limits"]);
+    assert!(reload("127.0.0.1:4", 256).unwrap().restart.is_empty());
 }
 
 #[test]
