--- a/src/engine.rs
+++ b/src/engine.rs
@@ -473,7 +473,7 @@
     /// front has been told to close it.
     pub fn may_begin(&mut self, now: Time, id: RequestId, attempt: u32, out: &mut Vec<Effect>) -> bool {
         let Some(server) = self.out(id, attempt).map(|open| open.server) else { return false };
-        let vouched = !self.unvouched && self.vouched_until.is_none_or(|until| now < until);
+        let vouched = !self.unvouched && self.vouching.holds(now);
         let allowed = vouched && self.module.may_begin(now, id);
         if allowed && self.ready(server) {
             return true;
--- a/src/main.rs
+++ b/src/main.rs
@@ -54,6 +54,7 @@
         info!("ashtide: limits.sockets is {}, the system allows {descriptors}", config.limits.sockets);
         config.limits.sockets = descriptors;
     }
+    config.facts.remarks().iter().for_each(|remark| info!("ashtide: {remark}"));
     // The platform names no deploy file.
     let fronts = files.fronts.as_deref().map(Fronts::read).transpose()?.unwrap_or_default();
     let view = files.view.as_deref().map(Settings::read).transpose().map_err(ViewError::told)?;
@@ -74,7 +75,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let work = files.maintenance.as_deref().map(work::Settings::read).transpose();
     let work = work.map_err(MaintenanceError::told)?;
-    runtime.block_on(run(config, fronts, view, work, quota))
+    let end = runtime.block_on(run(config, fronts, view, work, quota));
+    // A file that a reload still reads, on a disk that hangs, is not waited for.
+    runtime.shutdown_background();
+    end
 }
 
 async fn run(
@@ -99,7 +103,8 @@
     let others = fronts.quic.as_ref().map_or(0, |quic| quic.paths);
     let room = config.room(others);
     let lobby = Lobby::new(room);
-    let place = config.folder.as_deref().map(|folder| Place::new(folder, &config.name));
+    let whose = handover::deployment(&config, &listener);
+    let place = config.folder.as_deref().map(|folder| Place::of(folder, whose.clone()));
     let kept = place.as_ref().map(Place::kept).unwrap_or_default();
     let met = match &place {
         Some(place) => Some(handover::meet(place, started).await),
@@ -112,7 +117,7 @@
     let relayed = met.as_ref().and_then(|met| met.list.clone());
     let known = [config.known.clone(), relayed].into_iter().flatten().max_by_key(|list| list.index);
     let inbox = place.as_ref().and_then(|place| place.receive(started));
-    let state = State { started, adopts: inbox.is_some(), ..State::default() };
+    let state = State { whose: Some(whose), started, adopts: inbox.is_some(), ..State::default() };
     let (heirs, heir) = watch::channel(None);
     let own = config.kept_sockets(others);
     let post = Post::new(lobby.clone(), place.clone(), kept, own, state, heir.clone());
@@ -191,10 +196,9 @@
     let grace = config.grace;
     tokio::spawn(async move {
         if let Ok(Some(told)) = told_to_stop.await {
-            let grace = grace.saturating_sub(told.elapsed());
             info!("ashtide: asked to stop, leaving within {} ms", grace.as_millis());
             stop.send_replace(true);
-            handle.tell(Report::Leave(grace)).await;
+            handle.tell(Report::Leave(grace.saturating_sub(told.elapsed()))).await;
         }
     });
     core.run(known).await;
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -583,7 +583,7 @@
         let id = self.id;
         self.side.up();
         let mut to_server = self.early.split().freeze();
-        let mut last = false;
+        let (mut last, mut deaf) = (false, false);
         let end = loop {
             if last && to_client.is_empty() {
                 break End::Server(side.end().into());
@@ -591,7 +591,9 @@
             tokio::select! {
                 written = self.client.write.write_buf(&mut to_client), if !to_client.is_empty() => {
                     if written.is_err() {
-                        break End::Client(true);
+                        // It has gone and reads nothing more, but what it said before is still on the way.
+                        (deaf, to_client) = (true, Bytes::new());
+                        continue;
                     }
                     if !told && to_client.is_empty() {
                         told = true;
@@ -606,7 +608,7 @@
                         self.front.core.tell(Report::Asked(id, true)).await;
                     }
                 }
-                line = server.lines.next(), if to_client.is_empty() && !last => match line {
+                line = server.lines.next(), if to_client.is_empty() && !last && !deaf => match line {
                     Some(Ok(line)) => match side.line(line) {
                         ServerEvent::Load(line, figure) => {
                             to_client = line;
@@ -623,7 +625,7 @@
                 },
                 line = self.client.lines.next(), if to_server.is_empty() => match line {
                     Some(Ok(line)) => to_server = line,
-                    None => break End::Client(false),
+                    None => break End::Client(deaf),
                     Some(Err(LineError::Io(_))) => break End::Client(true),
                     Some(Err(error)) => {
                         BAD.say(error);
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -467,7 +467,7 @@
 fn nothing_begins_once_the_list_is_no_longer_vouched_for() {
     with_time(async {
         let mut world = World::new();
-        world.engine.unheard(world.now, world.now);
+        world.engine.unheard(world.now, world.now, End::Failed);
         world.pass(5_990).await;
         let id = world.request();
         assert_eq!(world.seen[&id].attempts, 1, "chosen in time");
