QUIC: the test of the Initial's keys moves from its source file to tests/parsers.rs

Cause: tests live in test files. Change: the standard's example (RFC 9001, appendix A) stands in tests/parsers.rs, its assertions as they were. `Keys` is public and hidden for it, with `derive`, `iv` and `mask`.

--- a/src/quic/initial.rs
+++ b/src/quic/initial.rs
@@ -34,10 +34,12 @@
     Server,
 }
 
-/// The keys of one side's Initial packets.
-struct Keys {
+/// The keys of one side's Initial packets. Public for the tests alone: the standard's example is about them.
+#[doc(hidden)]
+pub struct Keys {
     seal: Aes128Gcm,
-    iv: [u8; 12],
+    /// What a packet's number is mixed into.
+    pub iv: [u8; 12],
     mask: Aes128,
 }
 
@@ -54,7 +56,8 @@
 }
 
 impl Keys {
-    fn derive(first_id: &[u8], side: Side) -> Self {
+    /// From the id that the client first chose for the server.
+    pub fn derive(first_id: &[u8], side: Side) -> Self {
         let initial = Hkdf::<Sha256>::new(Some(&SALT), first_id);
         let label = match side {
             Side::Client => "client in",
@@ -75,7 +78,8 @@
         nonce.into()
     }
 
-    fn mask(&self, sample: &[u8]) -> [u8; 5] {
+    /// What hides a packet's first byte and number, from a sample of its seal.
+    pub fn mask(&self, sample: &[u8]) -> [u8; 5] {
         let mut block = GenericArray::clone_from_slice(sample);
         self.mask.encrypt_block(&mut block);
         [block[0], block[1], block[2], block[3], block[4]]
@@ -208,21 +212,3 @@
     }
     None
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// The example of RFC 9001, appendix A.1.
-    #[test]
-    fn keys_are_those_of_the_standard() {
-        let id = [0x83, 0x94, 0xc8, 0xf0, 0x3e, 0x51, 0x57, 0x08];
-        let client = Keys::derive(&id, Side::Client);
-        assert_eq!(client.iv, [0xfa, 0x04, 0x4b, 0x2f, 0x42, 0xa3, 0xfd, 0x3b, 0x46, 0xfb, 0x25, 0x5c]);
-        let server = Keys::derive(&id, Side::Server);
-        assert_eq!(server.iv, [0x0a, 0xc1, 0x49, 0x3c, 0xa1, 0x90, 0x58, 0x53, 0xb0, 0xbb, 0xa0, 0x3e]);
-        // Appendix A.2: the sample of the client's Initial and the mask it gives.
-        let sample = 0xd1b1_c98d_d768_9fb8_ec11_d242_b123_dc9b_u128.to_be_bytes();
-        assert_eq!(client.mask(&sample), [0x43, 0x7b, 0x9a, 0xec, 0x36]);
-    }
-}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -7,7 +7,7 @@
 use ashtide::discovery::{WatchCodec, WatchEvent};
 use ashtide::open_ids::OpenIds;
 use ashtide::quic::header::MAX_ID;
-use ashtide::quic::initial::{self, Side};
+use ashtide::quic::initial::{self, Keys, Side};
 use ashtide::quic::placing::{MIN_ID, issue, server_key, server_of};
 use ashtide::quic::{ConnectionId, Header};
 use ashtide::vrrp::Advertisement;
@@ -217,3 +217,16 @@
     drop(first);
     assert!(ids.claim(b"1").is_some());
 }
+
+/// The example of RFC 9001, appendix A.1.
+#[test]
+fn keys_are_those_of_the_standard() {
+    let id = [0x83, 0x94, 0xc8, 0xf0, 0x3e, 0x51, 0x57, 0x08];
+    let client = Keys::derive(&id, Side::Client);
+    assert_eq!(client.iv, [0xfa, 0x04, 0x4b, 0x2f, 0x42, 0xa3, 0xfd, 0x3b, 0x46, 0xfb, 0x25, 0x5c]);
+    let server = Keys::derive(&id, Side::Server);
+    assert_eq!(server.iv, [0x0a, 0xc1, 0x49, 0x3c, 0xa1, 0x90, 0x58, 0x53, 0xb0, 0xbb, 0xa0, 0x3e]);
+    // Appendix A.2: the sample of the client's Initial and the mask it gives.
+    let sample = 0xd1b1_c98d_d768_9fb8_ec11_d242_b123_dc9b_u128.to_be_bytes();
+    assert_eq!(client.mask(&sample), [0x43, 0x7b, 0x9a, 0xec, 0x36]);
+}
