--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -238,6 +238,8 @@
     /// The line break that comes next ends an object, and is no beat.
     ended: bool,
     ready: VecDeque<WatchEvent>,
+    /// What is wrong behind those that are ready: they were told all the same.
+    broken: Option<WatchError>,
 }
 
 impl WatchCodec {
@@ -286,7 +288,10 @@
         let take = usize::try_from(left).unwrap_or(usize::MAX).min(buffer.len());
         for line in buffer[..take].split_inclusive(|&byte| byte == b'\n') {
             self.text.extend_from_slice(line);
-            self.objects(line.ends_with(b"\n"))?;
+            if let Err(error) = self.objects(line.ends_with(b"\n")) {
+                self.broken = Some(error);
+                return Ok(true);
+            }
         }
         if self.text.len() > MAX_NEWS {
             return Err(WatchError::TooLong("object"));
@@ -345,6 +350,9 @@
             if let Some(event) = self.ready.pop_front() {
                 return Ok(Some(event));
             }
+            if let Some(error) = self.broken.take() {
+                return Err(error);
+            }
             let more = match self.part {
                 Part::Head => self.head(buffer)?,
                 Part::Size => self.size(buffer)?,
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -7,10 +7,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtide::config::Config;
 use ashtide::discovery::{End, News, QUIET, TOLD, Vouching};
 use ashtide::engine::{Due, Effect, Engine};
 use ashtide::figures::Figures;
+use ashtide::handover::{Kept, State};
+use ashtide::net::core::Core;
 use ashtide::net::discovery::follow;
+use ashtide::net::handover::Post;
+use ashtide::net::lobby::Lobby;
 use ashtide::net::report::{Handle, Report};
 use ashtide::*;
 use ashtide_rehearsal::clients::LineClient;
@@ -262,18 +267,25 @@
 
     /// Where 20 requests go.
     fn place(&mut self, now: Time) -> BTreeMap<ServerId, usize> {
-        let (mut placed, mut out) = (BTreeMap::new(), Vec::new());
+        let mut out = Vec::new();
         for _ in 0..20 {
             self.next += 1;
             let (id, class, time_left) = (RequestId(self.next), ClassId(0), Span::from_micros(2_000_000));
             let request = Request { id, class, tenant: None, group: None, time_left, load: None };
             self.engine.request(now, request, &mut out);
         }
-        for effect in out {
+        self.placed(now, out)
+    }
+
+    /// Where these effects place requests; their set-ups succeed at once, so that they keep no other back.
+    fn placed(&mut self, now: Time, out: Vec<Effect>) -> BTreeMap<ServerId, usize> {
+        let (mut placed, mut out) = (BTreeMap::new(), VecDeque::from(out));
+        while let Some(effect) = out.pop_front() {
             if let Effect::Attempt { id, attempt, server, .. } = effect {
                 *placed.entry(server).or_default() += 1;
-                // A set-up that stays out would keep others back.
-                self.engine.established(now, id, attempt, &mut Vec::new());
+                let mut more = Vec::new();
+                self.engine.established(now, id, attempt, &mut more);
+                out.extend(more);
             }
         }
         placed
@@ -284,7 +296,7 @@
         let from = Instant::now();
         loop {
             let due = self.engine.due().await;
-            let now = at(self.start.elapsed().as_secs_f64());
+            let now = self.now();
             let mut out = Vec::new();
             self.engine.fire(now, due, &mut out);
             if out.contains(&Effect::Subscribe) {
@@ -293,9 +305,13 @@
         }
     }
 
-    async fn called_after_a_failure(&mut self) -> Duration {
-        let now = at(self.start.elapsed().as_secs_f64());
-        self.engine.unheard(now, at(0.0), End::Failed);
+    fn now(&self) -> Time {
+        at(self.start.elapsed().as_secs_f64())
+    }
+
+    async fn called_after_a_failure(&mut self, in_step: Time) -> Duration {
+        let now = self.now();
+        self.engine.unheard(now, in_step, End::Failed);
         self.engine.list(now, ListNews::Broken, Vec::new(), &mut Vec::new());
         self.called().await
     }
@@ -315,8 +331,12 @@
         gateway.engine.list(at(6.2), news, Gateway::servers(ServerState::Draining), &mut out);
         assert!(gateway.place(at(6.3)).is_empty(), "{news:?}");
     }
+    out.clear();
     gateway.engine.vouched(at(6.4), &mut out);
-    assert_eq!(gateway.place(at(6.5)).into_keys().collect::<Vec<_>>(), [ServerId(1)]);
+    // Those that waited, and those that come.
+    for placed in [gateway.placed(at(6.4), out), gateway.place(at(6.5))] {
+        assert_eq!(placed.into_keys().collect::<Vec<_>>(), [ServerId(1)]);
+    }
 }
 
 #[tokio::test(start_paused = true)]
@@ -325,23 +345,27 @@
     gateway.called().await;
     let mut waits = Vec::new();
     while !gateway.engine.unvouched() {
-        waits.push(gateway.called_after_a_failure().await);
+        waits.push(gateway.called_after_a_failure(at(0.0)).await);
     }
-    waits.push(gateway.called_after_a_failure().await);
+    waits.push(gateway.called_after_a_failure(at(0.0)).await);
     assert!(waits[0] >= Duration::from_millis(250) && waits[0] < Duration::from_millis(510), "{waits:?}");
     // Nothing is placed by now, and that is no reason to call more often.
     let last = waits.last().expect("several");
     assert!(waits.len() >= 4 && *last >= Duration::from_millis(1500), "{waits:?}");
     for _ in 0..8 {
-        waits.push(gateway.called_after_a_failure().await);
+        waits.push(gateway.called_after_a_failure(at(0.0)).await);
     }
     let most = Duration::from_millis(3010);
     assert!(waits.iter().all(|&wait| wait <= most), "6 s less a call of 3 s: {waits:?}");
-    // An answer with nothing new is one, too.
-    let now = at(gateway.start.elapsed().as_secs_f64());
-    gateway.engine.vouched(now, &mut Vec::new());
-    let soon = gateway.called_after_a_failure().await;
-    assert!(soon < Duration::from_millis(510), "{soon:?}");
+    // An answer with nothing new is one, too, whether the list still stood or not.
+    for stood in [false, true] {
+        let now = gateway.now();
+        gateway.engine.vouched(now, &mut Vec::new());
+        let soon = gateway.called_after_a_failure(now).await;
+        assert!(soon < Duration::from_millis(510), "{soon:?}, {stood}");
+        let later = [gateway.called_after_a_failure(now).await, gateway.called_after_a_failure(now).await];
+        assert!(later[1] >= Duration::from_millis(1000) && !gateway.engine.unvouched(), "{later:?}");
+    }
 }
 
 // ---- Calls and watches --------------------------------------------------------------------
@@ -567,6 +591,52 @@
     assert_eq!(follower.ended().await.end, End::Closed);
 }
 
+#[tokio::test]
+async fn what_stands_before_a_bad_line_has_been_told() {
+    let service = Service::start().await;
+    let mut follower = Follower::start(service.at, 0, 16);
+    follower.ask();
+    let mut call = service.call().await;
+    let both = format!("{}\n{{\"index\":2,\"endpoints\":7}}\n", list(1, true, &["a"]));
+    call.say(&format!("{HEAD}{}", chunk(&both))).await;
+    assert_eq!(follower.news().await.index, 1);
+    follower.watching().await;
+    assert_eq!(follower.ended().await.end, End::Failed);
+    follower.ask();
+    assert_eq!(service.call().await.after, 1);
+}
+
+#[tokio::test]
+async fn the_core_hears_nothing_that_is_void() {
+    let settings = json!({
+        "azs": ["here"], "zone": "here", "balancers": 1, "discovery": "on_request", "tick": 0.005,
+        "classes": [{"name": "meter", "aim": 0.4, "deadline": 3.0, "effect": "pure", "worth": 1.0}],
+    });
+    let config = json!({"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "5eed",
+                        "settings": settings});
+    let config = Config::from_json(config, |_| None).expect("a configuration");
+    let ((subscribe, _asked), (datagrams, _sent)) = (mpsc::channel(1), mpsc::channel(1));
+    let (_heirs, heir) = watch::channel(None);
+    let lobby = Lobby::new(config.room(0));
+    let post = Post::new(lobby, None, Kept::default(), 0, State::default(), heir);
+    let (core, handle, _office) = Core::new(&config, subscribe, datagrams, post).expect("a core");
+    let mut fleet = core.fleet();
+    let news = |name| serde_json::from_value(list(1, false, &[name])).expect("a list");
+    let tells = async {
+        // Both are in the queue before the core looks.
+        handle.tell(Report::News(handle.next_watch(), news("old"))).await;
+        handle.tell(Report::News(handle.next_watch(), news("new"))).await;
+        let listed = within("a list", fleet.wait_for(|fleet| fleet.contains_key("new"))).await;
+        let listed = listed.expect("in time").expect("a core that runs");
+        assert!(!listed.contains_key("old"), "told before a later watch began, and heard after");
+    };
+    tokio::select! {
+        biased;
+        () = tells => {}
+        () = core.run(None) => panic!("a core that ends unasked"),
+    }
+}
+
 // ---- The daemon ---------------------------------------------------------------------------
 
 fn taken(fleet: &Fleet, server: usize) -> u64 {
