--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -64,7 +64,7 @@
     while let Ok((mut stream, _)) = listener.accept().await {
         let list = list.clone();
         watches.spawn(async move {
-            while line_of(&mut stream).await != "" {}
+            while !line_of(&mut stream).await.is_empty() {}
             let mut text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&list));
             while stream.write_all(text.as_bytes()).await.is_ok() {
                 tokio::time::sleep(BEAT).await;
