--- a/src/facts.rs
+++ b/src/facts.rs
@@ -217,8 +217,8 @@
 }
 
 impl Facts {
-    /// Reads the object; keys of the wrong type, unknown effects and names that stand twice are errors, and name
-    /// the key.
+    /// Reads the object; keys of the wrong type, unknown effects and names that stand twice are errors, and
+    /// name the key.
     pub fn parse(text: &str) -> Result<Self, String> {
         let mut value = serde_json::from_str(text).map_err(|e| e.to_string())?;
         drop_nulls(&mut value);
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -47,11 +47,12 @@
 impl Deployment {
     /// Whether two are the same deployment, so that one goes by what the other has told or kept.
     ///
-    /// What does not say whose it is never comes here and is taken: versions before 2026-12-02 told only the place,
-    /// and an upgrade from one must not lose what operators have called out.
+    /// What does not say whose it is never comes here and is taken: versions before 2026-12-02 told only the
+    /// place, and an upgrade from one must not lose what operators have called out.
     ///
     /// - Another name is another balancer's: it is what stays the same over restarts.
-    /// - Who shares a listener has the same clients, whatever else differs: an upgrade may rename all classes.
+    /// - Who shares a listener has the same clients, whatever else differs: an upgrade may rename
+    ///   all classes.
     /// - One that listens elsewhere is another: only one can have an address, and an upgrade keeps it.
     /// - One that serves none of the same customers is another customer's. Where either names none, that goes
     ///   for classes. A name in common is enough, as any may be added, removed or renamed.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// The other deployment whose process stands so; none where it is ours or does not say.
+    fn other<'a>(&self, state: &'a State) -> Option<&'a Deployment> {
+        state.whose.as_ref().filter(|other| !self.whose.same(other))
+    }
+
     /// Whose place it is.
     pub fn whose(&self) -> &Deployment {
         &self.whose
@@ -190,7 +195,7 @@
         best
     }
 
-    /// What earlier processes of this deployment have kept; nothing where there is no file or it cannot be read.
+    /// What earlier processes of this deployment have kept; nothing where there is no file that can be read.
     pub fn kept(&self) -> Kept {
         let other = |path: &Path, why: &str| {
             info!(
@@ -405,11 +410,11 @@
     let mut met = Met { links: Vec::new(), listener: None, list: None };
     let greeted = join_all(place.sockets().into_iter().map(greet)).await;
     for (path, link, list) in greeted.into_iter().flatten() {
+        if let Some(other) = link.state.as_ref().and_then(|state| place.other(state)) {
+            info!("handover: {}: {}", path.display(), NotMet(other));
+            continue;
+        }
         match &link.state {
-            Some(State { whose: Some(other), .. }) if !place.whose.same(other) => {
-                info!("handover: {}: {}", path.display(), NotMet(other));
-                continue;
-            }
             Some(state) => {
                 info!("handover: met an older process, {} connections by server", state.shares.len());
                 met.list = list.or(met.list);
@@ -506,11 +511,11 @@
         loop {
             tokio::select! {
                 word = words.next() => match word {
-                    Some(Ok(Word::State(State { whose: Some(other), .. }))) if !self.place.whose.same(&other) => {
-                        info!("handover: {}", NotMet(&other));
-                        break;
-                    }
                     Some(Ok(Word::State(state))) => {
+                        if let Some(other) = self.place.other(&state) {
+                            info!("handover: {}", NotMet(other));
+                            break;
+                        }
                         ours = true;
                         self.set(number, Some(state)).await;
                         if let Some(news) = early.take() {
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -404,8 +404,8 @@
     std::fs::remove_dir_all(folder).expect("no folder");
 }
 
-/// What a process of another deployment tells: a list without the only server, that operators have it out, that
-/// it takes the clients.
+/// What a process of another deployment tells: a list without the only server, that operators have it out,
+/// and that it takes the clients.
 fn foreign(site: &Site, started: u64) -> Vec<u8> {
     let theirs = Place::new(&site.folder, "a_b");
     let mut cordons = Cordons::default();
