--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -458,7 +458,8 @@
     follower.ask();
     let mut call = service.call().await;
     call.tell(&list(42, false, &["a"])).await;
-    (follower.news().await, follower.watching().await);
+    follower.news().await;
+    follower.watching().await;
     call.reset();
     assert_eq!(follower.ended().await.end, End::Closed);
     // Nobody listens.
