Cold starts: turns that are lost when unused; the sum of the fleet within the new rule

Without `peers` each gateway saved up one whole connection and kept it, so that hundreds could send theirs in one moment; two owners had one right saved each beside a pace of 0.6 of the old limit.

Change: `src/ramp.rs` holds N, the limit and the turns, for `rights` and `brain` alike. Connections to a cold server are numbered; a turn comes at an age, has one holder, is spent once and is lost when all later windows need it so (`edge`): what can be spent in any window is floor(limit) at most, whoever wakes when. Owners grant turns in place of buckets (two in turn, 0.72 of limit - 1 a window, a lease of 125 ms accounted for), gateways without `peers` have turns for N. A process spends no turn from before it began; two processes tell the last turns spent (`Share::spent`, `granted`, serde defaults; older words are read). A call-back makes no earlier turn good. `ALONE_FOR` and `SILENT_FOR` are 1 s, as nobody has a part to go by meanwhile.

`owners_together...` wanted no grant at all of an owner that starts anew every 100 ms; turns that come within its life are its own, so it is held to what an undisturbed owner grants, in all and in any window. `Violation::Saved` is now `Early`. `a_cold_server_is_thinned...` gave a hundred relays one number; each has its own. `an owner needs nobody` waits up to 3 s for its turn.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::interface::*;
+use crate::ramp::{Holder, Schedule};
 
 /// Draws in search of a fit server before the whole list is walked.
 const QUICK_DRAWS: u32 = 6;
@@ -19,14 +20,11 @@
 const RECKON: f64 = 0.1;
 /// How many times the burden of the other draw a server may carry and still keep its group.
 const GROUP_KEEP: f64 = 2.0;
-/// Multiple of what may push over a server of the least capacity and longest warm-up told, of which a relay
-/// sends its part where it hears nothing of the others: a safe one, as each may send its part at once.
-const ALONE_PART: f64 = 0.8;
-/// For this long a relay that nobody answers goes by its own part.
-const ALONE_FOR: Span = Span::from_micros(3_000_000);
+/// For this long a relay that nobody answers goes by its own turns.
+const ALONE_FOR: Span = Span::from_micros(1_000_000);
 /// Part of the tenants' shares that servers hold at least: a fleet in use by half.
 const SHARES_HELD: f64 = 0.5;
-/// What a paced server is not sent now may be sent later, up to this part of `overload_for`.
+/// What a recovering server is not sent now may be sent later, up to this part of `overload_for`.
 const BURST: f64 = 0.25;
 /// Multiple of the warm-up time in which a new server is paced; else all relays would turn to it just after.
 const PACED_FOR: f64 = 2.0;
@@ -97,9 +95,10 @@
     beside: Option<u32>,
     /// When this relay takes it to have started, if it may still be cold.
     born: Option<Time>,
-    /// What this relay may still send it of its own part while paced; as of when.
+    /// What this relay may still send it while it recovers, as of when; the last turn it has spent there.
     allowance: f64,
     reckoned: Time,
+    spent: u64,
     /// Until when a right to send it one connection is in hand, and whether one has been asked for.
     right: Option<Time>,
     asked: bool,
@@ -186,7 +185,7 @@
     /// How many connections of a group this relay holds on a server.
     groups: BTreeMap<(GroupId, ServerId), u32>,
     list_fails: u32,
-    started: bool,
+    began: Option<Time>,
 }
 
 impl Balancer {
@@ -211,13 +210,13 @@
             recounted: Time::default(),
             groups: BTreeMap::new(),
             list_fails: 0,
-            started: false,
+            began: None,
         }
     }
 
     /// Takes in one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
-        if !std::mem::replace(&mut self.started, true) {
+        if self.began.replace(self.began.unwrap_or(now)).is_none() {
             self.first_subscription(now);
         }
         match event {
@@ -236,7 +235,7 @@
             Event::Silent { server } => self.on_silent(now, server),
             Event::LoadChanged { id, load } => self.on_load(id, load),
             Event::CalledBack { server } => self.on_called_back(now, server),
-            Event::Beside { server, open, allowance } => self.on_beside(server, open, allowance),
+            Event::Beside { server, beside } => self.on_beside(now, server, beside),
             Event::Right { server, right } => self.on_right(now, server, right),
             Event::Probed { .. } => {}
         }
@@ -254,9 +253,10 @@
         self.fills * f64::from(self.settings.relays)
     }
 
-    /// What this relay may still send a server while it is paced.
-    pub fn allowance(&self, server: ServerId) -> f64 {
-        if self.known(server) { self.server(server).allowance } else { 0.0 }
+    /// What another process of this relay is to know of its own on a server.
+    pub fn beside(&self, server: ServerId) -> Beside {
+        let of = |it: &Server| Beside { open: it.open, allowance: it.allowance, spent: it.spent };
+        if self.known(server) { of(self.server(server)) } else { Beside::default() }
     }
 
     /// Whether a ready server gets nothing while others are fit.
@@ -299,14 +299,14 @@
         let index = entry.server.0 as usize;
         self.servers.resize_with(self.servers.len().max(index + 1), || None);
         let known = self.servers[index].as_ref().map(|s| s.listing.started);
-        let (fresh, phase) = (known != Some(entry.started) && entry.started.is_some(), self.rng.random());
+        let fresh = known != Some(entry.started) && entry.started.is_some();
         let server = self.servers[index].get_or_insert_default();
         server.listing = entry;
         if !(server.listing.size.is_finite() && server.listing.size > 0.0) {
             server.listing.size = 1.0;
         }
         if fresh {
-            server.begin_anew(now, server.listing.started, phase);
+            server.begin_anew(now, server.listing.started);
         }
     }
 
@@ -329,20 +329,23 @@
         self.actions.push(Action::SetTimer { token: SUBSCRIBE, at });
     }
 
-    /// The list may not tell yet of a restart, so it is cold; and the next request shows that it is used.
+    /// The list may not tell of a restart: it is cold, and earlier turns are lost. The next request goes there.
     fn on_called_back(&mut self, now: Time, id: ServerId) {
-        let born = self.server(id).born.filter(|_| self.is_new(now, id)).or(Some(now));
-        self.server_mut(id).begin_anew(now, born, 1.0);
-        self.server_mut(id).owed = true;
+        let born = self.server(id).born.filter(|_| self.is_new(now, id)).unwrap_or(now);
+        let come = Schedule::own(&self.settings).come(now.since(born), self.full(now)) as u64;
+        let server = self.server_mut(id);
+        server.begin_anew(now, Some(born));
+        (server.owed, server.spent) = (true, come);
         self.recount(now);
         self.try_held(now);
     }
 
-    /// Two processes of one relay count as one: what the other may send is not sent twice.
-    fn on_beside(&mut self, id: ServerId, open: u32, allowance: f64) {
-        let server = self.server_mut(id);
-        let most = server.beside.map_or(allowance, |_| server.allowance);
-        (server.allowance, server.beside) = (server.allowance.min(most), Some(open));
+    /// Two processes of one relay count as one: what the other may send, or has in a turn, is not sent twice.
+    fn on_beside(&mut self, now: Time, id: ServerId, it: Beside) {
+        let (schedule, full, server) = (Schedule::own(&self.settings), self.full(now), self.server_mut(id));
+        let most = server.beside.map_or(it.allowance, |_| server.allowance);
+        (server.allowance, server.beside) = (server.allowance.min(most), Some(it.open));
+        server.spent = server.spent.max(schedule.told(now, server.born, full, it.spent));
     }
 
     fn on_request(&mut self, now: Time, request: Request) {
@@ -526,9 +529,10 @@
     }
 
     fn attempt(&mut self, now: Time, id: RequestId, server: ServerId) {
-        let timeout = self.timeout(now, id);
+        let (timeout, turn) = (self.timeout(now, id), self.turn(now, server));
         let at = self.server_mut(server);
-        (at.allowance, at.owed, at.right) = ((at.allowance - 1.0).max(0.0), false, None);
+        (at.owed, at.right, at.spent) = (false, None, turn.unwrap_or(at.spent));
+        at.allowance = (at.allowance - 1.0).max(0.0);
         self.count(server, self.requests[&id].group, 1);
         self.setting_up += 1;
         let request = self.requests.get_mut(&id).expect("a request being placed is known");
@@ -696,26 +700,36 @@
 
     // ---- Cold starts ----------------------------------------------------------------------
 
-    /// Rule 4: a cold server holds nothing, so it wins every comparison at every relay. Each sends it at
-    /// most its own part of what fills it over its warm-up; the first connection is left to chance, as a
-    /// whole one each from a hundred relays is a wave.
+    /// Rule 4: a cold server holds nothing, so it wins every comparison at every relay. It gets what comes by
+    /// right or in turn; one that recovers is paced, as all that others have let go of wait for it.
     fn allows(&mut self, now: Time, id: ServerId) -> bool {
-        let Some(rate) = self.pace(now, self.server(id)) else { return true };
         if self.by_right(now, id) {
             let server = self.server_mut(id);
             server.right = server.right.filter(|&until| now < until);
             return server.right.is_some() || (!server.asked && now >= server.barred);
         }
+        let may = !self.is_new(now, id) || self.turn(now, id).is_some();
+        if !may || self.server(id).swamped_at.is_none_or(|at| now.since(at) >= self.settings.warm_within) {
+            return may;
+        }
+        let rate = RETURN_PART * MOVE_PART * self.usual / NOTE_EVERY.as_secs();
         let burst = (rate * self.settings.overload_for.as_secs() * BURST).max(1.0);
         let server = self.server_mut(id);
         let since = now.since(server.reckoned).as_secs();
-        server.allowance = (server.allowance + rate * since).min(burst);
-        server.reckoned = now;
+        (server.allowance, server.reckoned) = ((server.allowance + rate * since).min(burst), now);
         server.allowance >= 1.0
     }
 
+    /// This relay's next turn at a new server. All relays count turns by its age, so no two have one.
+    fn turn(&self, now: Time, id: ServerId) -> Option<u64> {
+        let (server, settings) = (self.server(id), &self.settings);
+        let born = server.born.filter(|_| self.is_new(now, id))?;
+        let holder = Holder::gateway(settings, server.listing.key, self.began?, server.spent);
+        Schedule::own(settings).turn(now, born, self.fills * f64::from(settings.relays), holder).ok()
+    }
+
     /// Whether all relays spend one allowance of a server, which is asked for. A hundredth of it each is no
-    /// whole connection, and idles with those whose clients stay. If nobody answers, each keeps to its own.
+    /// whole connection, and idles with those whose clients stay. If nobody answers, each keeps to its turns.
     fn by_right(&self, now: Time, id: ServerId) -> bool {
         self.settings.peers && now >= self.server(id).alone && self.is_new(now, id)
     }
@@ -749,22 +763,6 @@
         self.server(id).born.is_some_and(|born| now.since(born) < paced)
     }
 
-    /// Connections a second that this relay may send the server while it is new or has just recovered;
-    /// none where it is neither.
-    fn pace(&self, now: Time, server: &Server) -> Option<f64> {
-        let warm_within = self.settings.warm_within;
-        let cold = server.born.filter(|_| self.is_new(now, server.listing.server)).map(|born| {
-            let grown = (now.since(born).as_secs() / warm_within.as_secs()).min(1.0);
-            let part = self.settings.cold_from + (1.0 - self.settings.cold_from) * grown;
-            ALONE_PART * self.settings.fall_multiple * part * self.fills / warm_within.as_secs()
-        });
-        // All that other servers have let go of waits for the first to recover: it would be swamped
-        // again, or pushed over if it is new, before word of it came.
-        let recovering = server.swamped_at.is_some_and(|at| now.since(at) < warm_within);
-        let back = recovering.then(|| RETURN_PART * MOVE_PART * self.usual / NOTE_EVERY.as_secs());
-        cold.map_or(back, |cold| Some(back.map_or(cold, |back| back.min(cold))))
-    }
-
     /// What a server usually holds of this relay's connections: the mean over those that are not new, or over
     /// all where that is more, and no less than the tenants' shares let expect. It is forgotten only over a
     /// warm-up time, as in a deploy or after a crash the connections are on their way.
@@ -952,10 +950,10 @@
     }
 
     /// A new process: what held against the old is void, and it is cold.
-    fn begin_anew(&mut self, now: Time, born: Option<Time>, allowance: f64) {
+    fn begin_anew(&mut self, now: Time, born: Option<Time>) {
         (self.fails, self.aside_until, self.suspect, self.shed_until) = (0, None, false, None);
         (self.hot_until, self.swamped, self.swamped_at, self.bears) = (None, false, None, None);
-        (self.born, self.allowance, self.reckoned) = (born, allowance, now);
+        (self.spent, self.born) = (self.spent * u64::from(self.born == born), born);
         (self.right, self.barred, self.lacks) = (None, now, true);
     }
 }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -14,9 +14,11 @@
 use tokio_util::time::{DelayQueue, delay_queue::Key};
 
 use crate::brain::Balancer;
+use crate::handover::Share;
 use crate::interface::*;
 use crate::probing::Probing;
-use crate::rights::{Datagram, Key as ServerKey, PATIENCE, Rights, Step, Terms, Unheard, Violation};
+use crate::ramp::Ramp;
+use crate::rights::{Datagram, Key as ServerKey, PATIENCE, Rights, Step, Unheard, Violation};
 use crate::state::{Sight, Witness};
 
 /// A connection whose oldest message has waited this long for the server is moved: the protocol
@@ -208,14 +210,8 @@
         let aims = settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > Span::ZERO);
         let slow_from = aims.min().map_or(Span::ZERO, |aim| aim.scale(SLOW_PART));
         let tick = settings.tick.max(Span::from_micros(1_000));
-        let terms = Terms {
-            relays: settings.relays,
-            fall_multiple: settings.fall_multiple,
-            overload_for: settings.overload_for,
-            cold_from: settings.cold_from,
-            warm_within: settings.warm_within,
-        };
-        let rights = settings.peers.then(|| Rights::new(settings.own, terms, anchor.0));
+        let ramp = Ramp::new(&settings);
+        let rights = settings.peers.then(|| Rights::new(settings.own, settings.relays, ramp, anchor.0));
         let phase = f64::from((seed >> 32) as u32) / f64::from(u32::MAX);
         let probing = Probing::new(settings.probes, settings.relays, phase);
         let mut engine = Self {
@@ -423,7 +419,7 @@
         if let Some(rights) = self.rights.as_mut().filter(|_| news != ListNews::Broken) {
             self.keys.extend(entries.iter().map(|entry| (entry.key, entry.server)));
             let new = self.listed.values().filter(|it| it.state == ServerState::Ready);
-            rights.list(now, new.filter_map(|it| Some((it.key, it.started?))));
+            rights.list(new.filter_map(|it| Some((it.key, it.started?))));
         }
         let entries = entries.into_iter().map(|entry| self.masked(entry)).collect();
         self.run(now, Event::List { news, entries }, out);
@@ -548,15 +544,23 @@
         }
     }
 
-    /// What another process of this gateway holds on a server, and may still send it while it is cold.
-    pub fn beside(&mut self, now: Time, server: ServerId, share: (u32, f64), out: &mut Vec<Effect>) {
-        let (open, allowance) = share;
-        self.run(now, Event::Beside { server, open, allowance }, out);
+    /// What another process of this gateway holds on a server, has sent it in its turns and has granted.
+    pub fn beside(&mut self, now: Time, server: ServerId, share: Share, out: &mut Vec<Effect>) {
+        let Share { open, budget, spent, granted } = share;
+        let (key, full) = (self.listed.get(&server).map(|it| it.key), self.module.full(now));
+        if let Some((rights, key)) = self.rights.as_mut().zip(key) {
+            rights.beside(now, key, granted, full);
+        }
+        let beside = Beside { open, allowance: budget, spent };
+        self.run(now, Event::Beside { server, beside }, out);
     }
 
-    /// What this process may still send a server while it is cold.
-    pub fn allowance(&self, server: ServerId) -> f64 {
-        self.module.allowance(server)
+    /// What other processes of this gateway are to know of this one's on a server.
+    pub fn share(&self, server: ServerId) -> Share {
+        let Beside { open, allowance, spent } = self.module.beside(server);
+        let rights = self.rights.as_ref().zip(self.listed.get(&server));
+        let granted = rights.map_or(0, |(rights, it)| rights.spent(it.key));
+        Share { open, budget: allowance, spent, granted }
     }
 
     /// A server has told a connection's load, in microseconds of work a second.
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -32,8 +32,12 @@
 pub struct Share {
     /// Open connections, attempts included.
     pub open: u32,
-    /// Connections that it may still send while the server is cold.
+    /// Connections that it may still send while the server recovers.
     pub budget: f64,
+    /// The last of this balancer's own turns at the server, while it is new, that it has spent.
+    pub spent: u64,
+    /// The last turn that it has granted as an owner of the server's allowance.
+    pub granted: u64,
 }
 
 /// How a process stands.
@@ -137,6 +141,8 @@
                 let sum = all.shares.entry(server.clone()).or_default();
                 sum.open += share.open;
                 sum.budget += share.budget;
+                sum.spent = sum.spent.max(share.spent);
+                sum.granted = sum.granted.max(share.granted);
             }
             all
         })
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -402,6 +402,17 @@
     Unheard,
 }
 
+/// What one process of a relay holds on a server and has sent it, which others of the relay are to know.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Beside {
+    /// Its open connections there, attempts included.
+    pub open: u32,
+    /// What it may still send there while the server recovers.
+    pub allowance: f64,
+    /// The last of the relay's own turns that it has spent there while the server was new.
+    pub spent: u64,
+}
+
 /// What the relay tells the module.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -463,14 +474,12 @@
         /// The server.
         server: ServerId,
     },
-    /// Another process of this relay, as in an upgrade, holds these connections on a server.
+    /// Another process of this relay, as in an upgrade, holds and has sent this on a server.
     Beside {
         /// The server.
         server: ServerId,
-        /// Its open connections there.
-        open: u32,
-        /// What it may still send there while the server is paced.
-        allowance: f64,
+        /// What.
+        beside: Beside,
     },
     /// A connection's load has changed.
     LoadChanged {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod probing;
 pub mod quic;
 pub mod quota;
+pub mod ramp;
 pub mod rights;
 pub mod state;
 pub mod view;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -21,7 +21,6 @@
 use crate::engine::{Answer, Due, Effect, Engine};
 use crate::facts::{Names, group};
 use crate::figures::{Figures, Gauge};
-use crate::handover::Share;
 use crate::interface::*;
 use crate::quic::placing::server_key;
 use crate::quota;
@@ -263,8 +262,7 @@
         figures.set(Gauge::Withheld, withheld);
         let shares = self.listed.keys().filter_map(|name| {
             let server = self.names.servers.find(name).map(ServerId)?;
-            let share = Share { open: self.engine.open_on(server), budget: self.engine.allowance(server) };
-            Some((name.clone(), share))
+            Some((name.clone(), self.engine.share(server)))
         });
         let shares = shares.collect();
         self.post.tell(self.health.is_ready(), shares);
@@ -344,7 +342,7 @@
                 }
                 for (name, share) in shares {
                     if let Some(server) = self.names.servers.find(&name).map(ServerId) {
-                        self.engine.beside(now, server, (share.open, share.budget), &mut self.effects);
+                        self.engine.beside(now, server, share, &mut self.effects);
                     }
                 }
             }
--- a/src/rights.rs
+++ b/src/rights.rs
@@ -20,6 +20,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::interface::{PeerId, Right, Span, Time};
+use crate::ramp::{Holder, Ramp, Schedule};
 
 /// A server's key: the head of the SHA-256 of its name.
 pub type Key = u32;
@@ -37,48 +38,18 @@
 
 /// Owners of a server's allowance. One alone would leave new servers without any while it restarts.
 const OWNERS: usize = 2;
-/// Part of what may push a server over that the owners grant together. The rest is kept for a right that is used
-/// a [`LEASE`] late, for loads above the mean, and for what gateways send that are cut off from both owners.
-const GRANTED_PART: f64 = 0.6;
 /// A right is used within this time of the ask for it, or lost: counted by the asker's own clock from before the
 /// owner has granted it, so that it ends earlier than the owner thinks, never later.
-pub const LEASE: Span = Span::from_micros(250_000);
+pub const LEASE: Span = Span::from_micros(125_000);
 /// An owner that has not answered by then is asked no more; datagrams take some tens of milliseconds.
 pub const PATIENCE: Span = Span::from_micros(100_000);
 /// An owner that did not answer is passed over for this time, and one that is cut off heals unasked.
-const SILENT_FOR: Span = Span::from_micros(2_000_000);
+const SILENT_FOR: Span = Span::from_micros(1_000_000);
 /// Part of what fills a server that it is to get before others: a fleet in use by half.
 const FILLED: f64 = 0.5;
 /// Servers whose allowance is kept here at most: more than lists hold.
 const MAX_SERVERS: usize = 4096;
 
-/// What the settings allow a cold server (the fourth rule), and how many gateways there are.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Terms {
-    /// Gateways of the tier.
-    pub relays: u32,
-    /// It falls when sent more than this multiple of its capacity...
-    pub fall_multiple: f64,
-    /// ...for this long.
-    pub overload_for: Span,
-    /// It begins with this part of its capacity at least...
-    pub cold_from: f64,
-    /// ...and has all of it this long after its start at most.
-    pub warm_within: Span,
-}
-
-impl Terms {
-    /// Requests within `overload_for` that push over a server of this age which `full` connections fill: N, and
-    /// three of its roots and three more for chance (STANDING, on cold servers).
-    pub fn falls_at(&self, age: Span, full: f64) -> f64 {
-        let (window, warm) = (self.overload_for.as_secs(), self.warm_within.as_secs().max(f64::MIN_POSITIVE));
-        let grown = (age.as_secs() / warm).clamp(0.0, 1.0);
-        let part = self.cold_from + (1.0 - self.cold_from) * grown;
-        let n = self.fall_multiple * part * full / warm * window;
-        n + 3.0 * n.sqrt() + 3.0
-    }
-}
-
 /// Why a datagram is not heard. It has changed nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Unheard {
@@ -111,23 +82,25 @@
 /// What may never be so.
 #[derive(Debug, Clone, Copy, PartialEq, thiserror::Error)]
 pub enum Violation {
-    /// More is saved up for a server than one right: gateways that look away would come back with a wave.
-    #[error("{saved} rights saved up for server {key:#010x}")]
-    Saved {
+    /// A turn has been granted that had not come.
+    #[error("turn {turn} of server {key:#010x} granted, {come} have come")]
+    Early {
         /// The server.
         key: Key,
-        /// How many.
-        saved: f64,
+        /// The last turn granted.
+        turn: u64,
+        /// Turns that have come.
+        come: f64,
     },
-    /// More has been granted than came in since the start.
-    #[error("{granted} rights granted for server {key:#010x}, {earned} earned")]
+    /// More has been granted than this owner's turns since the start.
+    #[error("{granted} rights granted for server {key:#010x}, {turns} turns were this owner's")]
     Overdrawn {
         /// The server.
         key: Key,
         /// Rights granted here.
-        granted: f64,
-        /// Rights that came in here.
-        earned: f64,
+        granted: u64,
+        /// Turns of this owner up to the last granted.
+        turns: u64,
     },
     /// The allowance of a server is kept here that others keep.
     #[error("server {0:#010x} is kept by others")]
@@ -138,8 +111,8 @@
     /// What an operator can do about it.
     pub fn help(&self) -> &'static str {
         match self {
-            Self::Saved { .. } | Self::Overdrawn { .. } => {
-                "restart this gateway, which then begins with empty buckets, and report the line"
+            Self::Early { .. } | Self::Overdrawn { .. } => {
+                "restart this gateway, which then grants no turn of before, and report the line"
             }
             Self::NotOwned(_) => "compare `balancers` and `peers` on all gateways, and report the line",
         }
@@ -196,20 +169,21 @@
 }
 
 /// This owner's part of a server's allowance.
+#[derive(Default)]
 struct Bucket {
     born: Time,
-    saved: f64,
-    at: Time,
-    /// Rights that came in, granted, and held to have been granted by an owner before this process.
-    earned: f64,
-    granted: f64,
-    before: f64,
+    /// The last turn granted, by any process of this owner that has told.
+    spent: u64,
+    /// Turns granted here, and the most that had come at any look.
+    granted: u64,
+    come: f64,
 }
 
 /// What one gateway asks and grants.
 pub struct Rights {
     own: PeerId,
-    terms: Terms,
+    relays: u32,
+    schedule: Schedule,
     number: u16,
     asked: BTreeMap<Key, Asked>,
     buckets: BTreeMap<Key, Bucket>,
@@ -219,15 +193,16 @@
 }
 
 impl Rights {
-    /// Of gateway `own`, whose process begins now.
-    pub fn new(own: PeerId, terms: Terms, now: Time) -> Self {
+    /// Of gateway `own` of so many, whose process begins now.
+    pub fn new(own: PeerId, relays: u32, ramp: Ramp, now: Time) -> Self {
         let (asked, buckets, silent) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Self { own, terms, number: 0, asked, buckets, silent, began: now }
+        let schedule = ramp.granted(LEASE);
+        Self { own, relays, schedule, number: 0, asked, buckets, silent, began: now }
     }
 
     /// Who keeps a server's allowance: the same at all gateways of a tier.
     pub fn owners(&self, key: Key) -> Vec<PeerId> {
-        let relays = self.terms.relays.max(1);
+        let relays = self.relays.max(1);
         let mut rng = ChaCha8Rng::seed_from_u64(u64::from(key));
         let mut owners = Vec::with_capacity(OWNERS);
         while owners.len() < OWNERS.min(relays as usize) {
@@ -240,17 +215,14 @@
     }
 
     /// The servers on the list that have started lately, with their starts.
-    pub fn list(&mut self, now: Time, servers: impl Iterator<Item = (Key, Time)>) {
+    pub fn list(&mut self, servers: impl Iterator<Item = (Key, Time)>) {
         let mut kept = std::mem::take(&mut self.buckets);
         for (key, born) in servers.take(MAX_SERVERS) {
             if !self.owners(key).contains(&self.own) {
                 continue;
             }
             let old = kept.remove(&key).filter(|bucket| bucket.born == born);
-            // One that started before this process has had an owner's rights already: none is begun with.
-            let saved = if born >= self.began { 1.0 } else { 0.0 };
-            let new = || Bucket { born, saved, at: now, earned: saved, granted: 0.0, before: 0.0 };
-            self.buckets.insert(key, old.unwrap_or_else(new));
+            self.buckets.insert(key, old.unwrap_or(Bucket { born, ..Bucket::default() }));
         }
     }
 
@@ -295,7 +267,7 @@
     ///
     /// Says why it is not heard.
     pub fn hear(&mut self, now: Time, from: PeerId, bytes: &[u8], full: f64) -> Result<Step, Unheard> {
-        if from == self.own || from.0 >= self.terms.relays {
+        if from == self.own || from.0 >= self.relays {
             return Err(Unheard::Foreign);
         }
         let malformed = Unheard::Malformed(bytes.len());
@@ -335,35 +307,40 @@
         }
     }
 
+    /// The last turn granted for a server, which another process of this gateway is to hear.
+    pub fn spent(&self, key: Key) -> u64 {
+        self.buckets.get(&key).map_or(0, |bucket| bucket.spent)
+    }
+
+    /// Another process of this gateway has granted the turns up to this one.
+    pub fn beside(&mut self, now: Time, key: Key, spent: u64, full: f64) {
+        let Some(bucket) = self.buckets.get_mut(&key) else { return };
+        bucket.spent = bucket.spent.max(self.schedule.told(now, Some(bucket.born), full, spent));
+        bucket.come = bucket.come.max(self.schedule.come(now.since(bucket.born), full));
+    }
+
     /// Grants one right out of this owner's part, if there is one.
     fn grant(&mut self, now: Time, key: Key, full: f64) -> Right {
-        let (terms, began) = (self.terms, self.began);
+        let (schedule, began, owners) = (self.schedule, self.began, self.owners(key));
         // An owner whose list is behind does not know it yet.
         let Some(bucket) = self.buckets.get_mut(&key) else {
-            return Right::Refused { wait: SILENT_FOR.scale(0.25), lacks: true };
+            return Right::Refused { wait: SILENT_FOR.scale(0.5), lacks: true };
         };
-        let age = now.since(bucket.born);
-        let own = OWNERS.min(terms.relays.max(1) as usize) as f64;
-        let rate = GRANTED_PART * terms.falls_at(age, full) / terms.overload_for.as_secs() / own;
-        let passed = now.since(bucket.at).as_secs().max(0.0);
-        let more = (rate * passed).min((1.0 - bucket.saved).max(0.0));
-        (bucket.saved, bucket.earned) = (bucket.saved + more, bucket.earned + more);
-        // A clock that is put back and on again would earn the time between twice.
-        bucket.at = bucket.at.max(now);
-        // What another process of this gateway granted before this one, by the pace it had at least.
-        let earlier = began.since(bucket.born).as_secs().max(0.0);
-        bucket.before =
-            earlier * GRANTED_PART * terms.falls_at(Span::ZERO, full) / terms.overload_for.as_secs() / own;
-        let granted = bucket.saved >= 1.0;
-        if granted {
-            (bucket.saved, bucket.granted) = (bucket.saved - 1.0, bucket.granted + 1.0);
+        let (of, place) = (owners.len() as u32, owners.iter().position(|&owner| owner == self.own));
+        // The first named has the first turn.
+        let number = (place.unwrap_or_default() as u32 + 1) % of;
+        let holder = Holder { number, of, began, spent: bucket.spent };
+        let turn = schedule.turn(now, bucket.born, full, holder);
+        if let Ok(turn) = turn {
+            (bucket.spent, bucket.granted) = (turn, bucket.granted + 1);
+            bucket.come = bucket.come.max(schedule.come(now.since(bucket.born), full));
         }
-        let lacks = bucket.granted + bucket.before < FILLED * full / own;
-        match granted {
-            true => Right::Granted { until: now + LEASE, lacks },
-            false => {
-                Right::Refused { wait: Span::from_micros(((1.0 - bucket.saved) / rate * 1e6) as i64), lacks }
-            }
+        // With what another process of this gateway may have granted before this one.
+        let before = (schedule.come(began.since(bucket.born), full) - 1.0) / f64::from(of);
+        let lacks = bucket.granted as f64 + before < FILLED * full / f64::from(of);
+        match turn {
+            Ok(_) => Right::Granted { until: now + LEASE, lacks },
+            Err(wait) => Right::Refused { wait, lacks },
         }
     }
 
@@ -373,13 +350,13 @@
     ///
     /// Names what does not.
     pub fn check(&self) -> Result<(), Violation> {
-        const ROUNDING: f64 = 1e-6;
         for (&key, bucket) in &self.buckets {
-            if bucket.saved > 1.0 + ROUNDING {
-                return Err(Violation::Saved { key, saved: bucket.saved });
+            if bucket.granted > 0 && bucket.spent as f64 > bucket.come + 1.0 {
+                return Err(Violation::Early { key, turn: bucket.spent, come: bucket.come });
             }
-            if bucket.granted > bucket.earned + ROUNDING {
-                return Err(Violation::Overdrawn { key, granted: bucket.granted, earned: bucket.earned });
+            let turns = bucket.spent / self.owners(key).len().max(1) as u64 + 1;
+            if bucket.granted > turns {
+                return Err(Violation::Overdrawn { key, granted: bucket.granted, turns });
             }
             if !self.owners(key).contains(&self.own) {
                 return Err(Violation::NotOwned(key));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use ashtide::rights::{PATIENCE, Rights, Step, Terms};
+use ashtide::ramp::Ramp;
+use ashtide::rights::{PATIENCE, Rights, Step};
 use ashtide::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -46,8 +47,13 @@
 
 /// Relays, their clients and where these stand. Set-ups succeed at once.
 struct Fleet {
+    /// How many relays there are. Processes beyond these are second ones of the same relays, as in an upgrade: they
+    /// have no socket for datagrams yet, and of each two the clients come to either.
+    size: usize,
     relays: Vec<Balancer>,
     rights: Vec<Rights>,
+    peers: bool,
+    listed: Vec<Listing>,
     now: i64,
     due: BTreeMap<(i64, u32), Due>,
     placed: HashMap<(usize, RequestId), ServerId>,
@@ -63,11 +69,16 @@
 
 impl Fleet {
     fn new(servers: u32, peers: bool) -> Self {
+        Self::of(RELAYS, servers, peers)
+    }
+
+    fn of(size: usize, servers: u32, peers: bool) -> Self {
         let mut fleet = Self {
-            relays: (0..RELAYS as u64)
-                .map(|seed| Balancer::new(Settings { peers, ..settings() }, seed))
-                .collect(),
+            size,
+            relays: Vec::new(),
             rights: Vec::new(),
+            peers,
+            listed: Vec::new(),
             now: 100 * 1_000 * MILLISECOND,
             due: BTreeMap::new(),
             placed: HashMap::new(),
@@ -78,19 +89,74 @@
             next: 0,
             rng: ChaCha8Rng::seed_from_u64(1),
         };
-        let terms = Terms {
-            relays: RELAYS as u32,
-            fall_multiple: 2.5,
-            overload_for: Span::from_micros(2_000 * MILLISECOND),
-            cold_from: 0.13,
-            warm_within: Span::from_micros(WARM),
-        };
-        let began = fleet.now();
-        fleet.rights = (0..RELAYS as u32).map(|own| Rights::new(PeerId(own), terms, began)).collect();
+        for number in 0..size {
+            fleet.begin(number);
+        }
         fleet.list((0..servers).map(|id| Listing::ready(ServerId(id), ZoneId(0))).collect());
         fleet
     }
 
+    /// The settings of this process's relay.
+    fn settings(&self, process: usize) -> Settings {
+        let own = PeerId((process % self.size) as u32);
+        Settings { peers: self.peers, relays: self.size as u32, own, ..settings() }
+    }
+
+    /// A process of a relay begins, in place of the last or as one more, and reads the list.
+    fn begin(&mut self, process: usize) {
+        let (now, settings) = (self.now(), self.settings(process));
+        let rights = Rights::new(settings.own, settings.relays, Ramp::new(&settings), now);
+        let relay = Balancer::new(settings, (self.next as u64) << 32 | process as u64);
+        if process < self.relays.len() {
+            (self.relays[process], self.rights[process]) = (relay, rights);
+            let here = |(&(at, id), &server): (&(usize, RequestId), &ServerId)| {
+                (at == process).then_some((id, server))
+            };
+            let mut here: Vec<_> = self.placed.iter().filter_map(here).collect();
+            here.sort_unstable();
+            self.told_list(process, self.listed.clone());
+            for (id, server) in here {
+                let request = Request { id, ..self.request() };
+                self.tell(process, Event::Existing { request, server });
+            }
+        } else {
+            self.relays.push(relay);
+            self.rights.push(rights);
+            self.told_list(process, self.listed.clone());
+        }
+    }
+
+    fn told_list(&mut self, process: usize, entries: Vec<Listing>) {
+        let started = |it: &Listing| Some((it.key, it.started?));
+        self.rights[process].list(self.listed.iter().filter_map(started));
+        self.tell(process, Event::List { news: ListNews::Changes, entries });
+    }
+
+    /// The other process of the same relay, if there is one.
+    fn other(&self, process: usize) -> Option<usize> {
+        let other = if process < self.size { process + self.size } else { process - self.size };
+        (other < self.relays.len()).then_some(other)
+    }
+
+    /// Tells the other process of the same relay what this one has on a server.
+    fn share(&mut self, process: usize, server: ServerId) {
+        let Some(other) = self.other(process) else { return };
+        let (now, beside) = (self.now(), self.relays[process].beside(server));
+        let (granted, full) = (self.rights[process].spent(server.0), self.relays[other].full(now));
+        self.rights[other].beside(now, server.0, granted, full);
+        self.tell(other, Event::Beside { server, beside });
+    }
+
+    /// A client comes to a process of this relay.
+    fn client(&mut self, relay: usize) {
+        let process = match self.other(relay) {
+            Some(other) if self.rng.random() => other,
+            _ => relay,
+        };
+        let request = self.request();
+        self.tell(process, Event::Request(request));
+    }
+
     fn now(&self) -> Time {
         Time::from_micros(self.now)
     }
@@ -101,11 +167,9 @@
     }
 
     fn list(&mut self, entries: Vec<Listing>) {
-        let started = |it: &Listing| Some((it.key, it.started?));
-        let now = self.now();
-        for relay in 0..RELAYS {
-            self.rights[relay].list(now, entries.iter().filter_map(started));
-            self.tell(relay, Event::List { news: ListNews::Changes, entries: entries.clone() });
+        self.listed.extend(entries.iter().cloned());
+        for process in 0..self.relays.len() {
+            self.told_list(process, entries.clone());
         }
     }
 
@@ -125,6 +189,7 @@
                     self.sent.push((self.now, server));
                     self.placed.insert((relay, id), server);
                     self.tell(relay, Event::Established { id, attempt: 0, after: Span::ZERO });
+                    self.share(relay, server);
                 }
                 Action::SetTimer { token, at } => {
                     let wait = at.since(now).as_micros();
@@ -133,6 +198,7 @@
                 Action::Ask { server } => {
                     let full = self.relays[relay].full(now);
                     let step = self.rights[relay].ask(now, server.0, full);
+                    self.share(relay, server);
                     self.step(relay, step);
                 }
                 _ => {}
@@ -154,7 +220,8 @@
         };
         self.datagrams += 1;
         let to = datagram.to.0 as usize;
-        if self.rng.random::<f64>() >= self.lost && self.cut.contains(&to) == self.cut.contains(&relay) {
+        let heard = relay < self.size && self.cut.contains(&to) == self.cut.contains(&relay);
+        if self.rng.random::<f64>() >= self.lost && heard {
             let wait = self.rng.random_range(1..36) * MILLISECOND;
             self.later(wait, Due::Datagram(to, PeerId(relay as u32), datagram.bytes().to_vec()));
         }
@@ -175,7 +242,7 @@
     /// `each` connections stand on each of these servers, at relays taken in turn.
     fn stand(&mut self, servers: std::ops::Range<u32>, each: usize) {
         for (at, server) in servers.flat_map(|server| (0..each).map(move |_| server)).enumerate() {
-            let (relay, server, request) = (at * 37 % RELAYS, ServerId(server), self.request());
+            let (relay, server, request) = (at * 37 % self.size, ServerId(server), self.request());
             self.placed.insert((relay, request.id), server);
             self.tell(relay, Event::Existing { request, server });
         }
@@ -194,6 +261,9 @@
                 Due::Datagram(relay, from, bytes) => {
                     let (now, full) = (self.now(), self.relays[relay].full(Time::from_micros(self.now)));
                     if let Ok(step) = self.rights[relay].hear(now, from, &bytes, full) {
+                        if let Step::Send(answer) = step {
+                            self.share(relay, ServerId(answer.key()));
+                        }
                         self.step(relay, step);
                     }
                 }
@@ -204,8 +274,8 @@
                     }
                 }
                 Due::Client => {
-                    let (relay, request) = (self.rng.random_range(0..RELAYS), self.request());
-                    self.tell(relay, Event::Request(request));
+                    let relay = self.rng.random_range(0..self.size);
+                    self.client(relay);
                 }
             }
         }
@@ -231,41 +301,46 @@
     fleet
 }
 
-/// The most that a window of the rule's length saw sent to a server, against what pushes over one that 54
-/// connections fill, begins with the least and is warm after the longest time that the settings tell.
-fn worst(fleet: &Fleet, server: u32, began: i64) -> f64 {
-    let sent = fleet.sent.iter().filter(|&&(_, at)| at == ServerId(server)).map(|&(at, _)| at);
+/// What pushes over a server of this age that so many connections fill, begins with the least and is warm after the
+/// longest time that the settings tell: N + 2 x root of N + 2, as the page has it. Not the code under test.
+fn falls_at(age: i64, fill: f64) -> f64 {
+    let part = 0.13 + 0.87 * (age as f64 / WARM as f64).clamp(0.0, 1.0);
+    let n = 2.5 * part * fill / 24.0 * 2.0;
+    n + 2.0 * n.sqrt() + 2.0
+}
+
+/// The most that a window of the rule's length saw sent to a server, against what pushes it over.
+fn worst(fleet: &Fleet, server: u32, began: i64, fill: f64) -> f64 {
+    let sent: Vec<i64> =
+        fleet.sent.iter().filter(|&&(_, at)| at == ServerId(server)).map(|&(at, _)| at).collect();
     let window = 2_000 * MILLISECOND;
-    let terms = Terms {
-        relays: RELAYS as u32,
-        fall_multiple: 2.5,
-        overload_for: Span::from_micros(window),
-        cold_from: 0.13,
-        warm_within: Span::from_micros(WARM),
-    };
-    let used = |from: i64| {
-        let number = sent.clone().filter(|at| (from..from + window).contains(at)).count() as f64;
-        number / terms.falls_at(Span::from_micros(from - began), 54.0)
+    let used = |(first, &from): (usize, &i64)| {
+        let number = sent[first..].partition_point(|&at| at < from + window) as f64;
+        number / falls_at(from - began, fill)
     };
-    sent.clone().map(used).fold(0.0, f64::max)
+    sent.iter().enumerate().map(used).fold(0.0, f64::max)
 }
 
 /// What three new servers hold in the end, and the worst window of any.
 fn filled(fleet: &Fleet) -> (usize, f64) {
-    let worst = (10..13).map(|server| worst(fleet, server, 100_000 * MILLISECOND)).fold(0.0, f64::max);
+    let worst =
+        (10..13).map(|server| worst(fleet, server, 100_000 * MILLISECOND, 540.0 / 13.0)).fold(0.0, f64::max);
     ((10..13).map(|server| fleet.held(server)).sum(), worst)
 }
 
 #[test]
 fn relays_fill_new_servers_within_the_rule_whatever_is_lost_and_whoever_is_cut_off() {
+    let mut few = Vec::new();
     for (lost, cut, least) in [(0.0, 0..0, 50), (0.3, 0..0, 45), (0.0, 0..100, 40), (0.0, 0..150, 40)] {
         let fleet = release(true, lost, cut.clone());
         let (held, worst) = filled(&fleet);
-        assert!(held >= least, "{held} with {lost} of the datagrams lost and {cut:?} cut off");
+        println!("{held} held, {worst:.2} of the rule, {lost} lost, {cut:?} cut off");
+        few.extend((held < least).then_some((held, least, lost, cut.clone())));
         assert!(worst <= 1.0, "{worst} times what the rule allows, {lost} lost and {cut:?} cut off");
         // Told to all, each placement cost 299 datagrams.
         assert!(fleet.datagrams < 8 * 240, "{} datagrams for 240 clients", fleet.datagrams);
     }
+    assert!(few.is_empty(), "held, wanted, datagrams lost, cut off: {few:?}");
 }
 
 #[test]
@@ -275,19 +350,115 @@
     assert!(worst <= 1.0, "{worst} times what the rule allows");
 }
 
+#[test]
+fn relays_without_peers_keep_to_their_own_turns() {
+    let (held, worst) = filled(&release(false, 0.0, 0..0));
+    println!("without peers: {held} held, {worst:.2} of the rule");
+    assert!(held >= 5, "{held} of relays that ask nobody");
+    assert!(worst <= 1.0, "{worst} times what the rule allows");
+}
+
 #[test]
 fn a_new_server_in_another_zone_is_not_passed_over_for_ties_between_zeros() {
-    // Every relay holds nothing on most servers, so its own counts say nothing of the new one.
+    // Every relay holds nothing on most servers, so its own counts say nothing of the new one. A client comes to each
+    // of them every 500 ms, so that no turn is lost for want of one.
     let mut fleet = Fleet::new(9, false);
     fleet.stand(0..9, 25);
     fleet.add(1, 9);
     fleet.run(12_000);
-    for _ in 0..300 {
-        fleet.later(0, Due::Client);
+    for _ in 0..16 {
+        for relay in 0..RELAYS {
+            fleet.client(relay);
+        }
+        fleet.run(500);
+    }
+    // Four windows, of what the settings allow at the beginning of each.
+    let part = |age: f64| 0.13 + 0.87 * age / 24.0;
+    let allowed: f64 = [12.0, 14.0, 16.0, 18.0].map(|age| 2.5 * part(age) * 54.0 / 24.0 * 2.0).iter().sum();
+    let (held, worst) = (fleet.held(9) as f64, worst(&fleet, 9, 100_000 * MILLISECOND, 54.0));
+    println!("one new server of ten: {held} held, {allowed} allowed, {worst:.2} of the rule");
+    assert!(3.0 * held > 2.0 * allowed, "one of ten servers got {held}, {allowed} were allowed");
+    assert!(worst <= 1.0, "{worst} times what the rule allows");
+}
+
+/// Three servers begin; then at several ages a client comes to every relay in the same moment after a rest, in some
+/// storms for 4 s on end, and in between few come. Each of these changes what happens meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Meanwhile {
+    Nothing,
+    /// A tenth of the relays starts anew each 500 ms.
+    Restarts,
+    /// A second process of each relay begins after 2 s.
+    Upgrade,
+    /// Half of the relays hear and are heard by the other half no more.
+    Cut,
+    /// All datagrams are lost.
+    Deaf,
+}
+
+fn bursts(size: usize, peers: bool, meanwhile: Meanwhile) -> Fleet {
+    let mut fleet = Fleet::of(size, 10, peers);
+    fleet.stand(0..10, 27);
+    match meanwhile {
+        Meanwhile::Cut => fleet.cut = 0..size / 2,
+        Meanwhile::Deaf => fleet.lost = 1.0,
+        _ => {}
+    }
+    fleet.add(3, 10);
+    for round in 0..60 {
+        if meanwhile == Meanwhile::Upgrade && round == 4 {
+            for process in size..2 * size {
+                fleet.begin(process);
+            }
+        }
+        if meanwhile == Meanwhile::Restarts {
+            for relay in (round % 10..size).step_by(10) {
+                fleet.begin(relay);
+            }
+        }
+        let waves = match round {
+            0 | 5 | 9 | 14 | 40 | 59 => 1,
+            24..32 => 5,
+            _ => 0,
+        };
+        for _ in 0..waves {
+            for relay in 0..size {
+                fleet.client(relay);
+            }
+            fleet.run(100);
+        }
+        for client in 0..5 {
+            fleet.later(client * 70 * MILLISECOND, Due::Client);
+        }
+        fleet.run(500 - 100 * waves);
+    }
+    fleet
+}
+
+#[test]
+fn the_sum_of_the_fleet_stays_within_the_rule_whatever_happens_meanwhile() {
+    use Meanwhile::{Cut, Deaf, Nothing, Restarts, Upgrade};
+    let mut over = Vec::new();
+    for size in [20, 30, 300] {
+        for (peers, meanwhile) in [
+            (false, Nothing),
+            (false, Restarts),
+            (false, Upgrade),
+            (true, Nothing),
+            (true, Restarts),
+            (true, Upgrade),
+            (true, Cut),
+            (true, Deaf),
+        ] {
+            let (held, worst) = filled(&bursts(size, peers, meanwhile));
+            println!("{size} relays, peers {peers}, {meanwhile:?}: {held} held, {worst:.2} of the rule");
+            if worst > 1.0 {
+                over.push((size, peers, meanwhile, worst));
+            }
+            assert!(held >= 30, "{held} on three new servers, {size} relays, peers {peers}, {meanwhile:?}");
+        }
     }
-    fleet.run(0);
-    let (held, allowed) = (fleet.held(9), 24);
-    assert!(3 * held > 2 * allowed, "one of ten servers got {held} of 300 connections");
+    assert_eq!(over, [], "more than pushes a server over");
 }
 
 #[test]
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -18,7 +18,10 @@
 }
 
 fn state(started: u64, ready: bool, open: u32) -> State {
-    let shares = BTreeMap::from([("s-0".to_owned(), Share { open, budget: 0.5 })]);
+    let shares = BTreeMap::from([(
+        "s-0".to_owned(),
+        Share { open, budget: 0.5, spent: started, granted: 20 - started },
+    )]);
     let mut cordons = Cordons::default();
     cordons.call("s-0", Call { at: started, out: ready });
     State { started, ready, adopts: started % 2 == 1, begun: true, sockets: 40, shares, cordons }
@@ -67,7 +70,15 @@
     // The youngest that is ready and can: 12 cannot, 13 is not ready.
     let all = [state(9, true, 0), state(11, true, 0), state(12, true, 0), state(13, false, 0)];
     assert_eq!((both.heir, others(&all).heir, others(&all[2..]).heir), (Some(11), Some(11), None));
-    assert_eq!((both.sockets, both.shares["s-0"]), (80, Share { open: 4, budget: 1.0 }));
+    // What may still be sent adds up; a turn that any has spent is spent for all.
+    let share = Share { open: 4, budget: 1.0, spent: 11, granted: 11 };
+    assert_eq!((both.sockets, both.shares["s-0"]), (80, share));
+}
+
+#[test]
+fn a_word_of_a_version_without_turns_is_read() {
+    let old: Share = serde_json::from_str(r#"{"open":3,"budget":0.5}"#).expect("read");
+    assert_eq!(old, Share { open: 3, budget: 0.5, spent: 0, granted: 0 });
 }
 
 #[test]
--- a/tests/rights.rs
+++ b/tests/rights.rs
@@ -1,6 +1,7 @@
 //! Rights to send to new servers: what no lost, late or repeated datagram, no restart and no clock may make.
 
-use ashtide::rights::{ASK, Datagram, LEASE, LONGEST, PATIENCE, Rights, Step, Terms, Unheard};
+use ashtide::ramp::Ramp;
+use ashtide::rights::{ASK, Datagram, LEASE, LONGEST, PATIENCE, Rights, Step, Unheard};
 use ashtide::{PeerId, Right, Span, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -14,9 +15,8 @@
     Time::from_micros(1_000 * SECOND + us)
 }
 
-fn terms() -> Terms {
-    Terms {
-        relays: RELAYS,
+fn ramp() -> Ramp {
+    Ramp {
         fall_multiple: 2.5,
         overload_for: Span::from_micros(2 * SECOND),
         cold_from: 0.13,
@@ -26,8 +26,9 @@
 
 /// All gateways of the tier, told of a server that begins now, and who keeps its allowance, and another.
 fn tier(key: u32) -> (Vec<Rights>, Vec<PeerId>, PeerId) {
-    let mut all: Vec<Rights> = (0..RELAYS).map(|own| Rights::new(PeerId(own), terms(), at(0))).collect();
-    all.iter_mut().for_each(|it| it.list(at(0), std::iter::once((key, at(0)))));
+    let mut all: Vec<Rights> =
+        (0..RELAYS).map(|own| Rights::new(PeerId(own), RELAYS, ramp(), at(0))).collect();
+    all.iter_mut().for_each(|it| it.list(std::iter::once((key, at(0)))));
     let owners = all[0].owners(key);
     let other = (0..RELAYS).map(PeerId).find(|it| !owners.contains(it)).expect("more gateways than owners");
     (all, owners, other)
@@ -76,20 +77,55 @@
     assert_eq!(all[other.0 as usize].hear(at(90_000), ask.to, repeated.bytes(), FULL), Err(Unheard::Unasked));
 }
 
+/// The most within any time of this length.
+fn most_within(sent: &[i64], window: i64) -> usize {
+    let from = |&start: &i64| sent.iter().filter(|at| (start..start + window).contains(at)).count();
+    sent.iter().map(from).max().unwrap_or_default()
+}
+
+/// When these owners grant, each asked every 10 ms from the server's start on, and started anew every so often.
+fn granting(owners: &[PeerId], other: PeerId, seconds: i64, anew_every: Option<i64>) -> Vec<i64> {
+    let mut granted = Vec::new();
+    for &owner in owners {
+        let begin = |now: i64| {
+            let mut owner = Rights::new(owner, RELAYS, ramp(), at(now));
+            owner.list(std::iter::once((KEY, at(0))));
+            owner
+        };
+        let mut it = begin(0);
+        for now in (0..seconds * SECOND).step_by(10_000) {
+            if anew_every.is_some_and(|every| now % every == 0) {
+                it = begin(now);
+            }
+            granted.extend((grants(&mut it, other, now, 1) == 1).then_some(now));
+        }
+    }
+    granted.sort_unstable();
+    granted
+}
+
 #[test]
 fn owners_together_keep_under_the_rule_and_a_restart_mints_nothing() {
     let (mut all, owners, other) = tier(KEY);
-    let allowed = terms().falls_at(Span::ZERO, FULL);
-    let total: usize = owners.iter().map(|it| grants(&mut all[it.0 as usize], other, 0, 200)).sum();
-    assert!(total >= 4 && (total as f64) < allowed, "{total} in a window, {allowed} push it over");
-    // An owner that starts anew every 100 ms, with a list that names the server, never has a whole right.
-    let mut minted = 0;
-    for start in 1..200 {
-        let mut anew = Rights::new(owners[0], terms(), at(start * 100_000));
-        anew.list(at(start * 100_000), std::iter::once((KEY, at(0))));
-        minted += grants(&mut anew, other, start * 100_000, 5);
+    let window = 2 * SECOND;
+    // N + 2 x root of N + 2 as the page has it, N 2.5 x 0.13 x 54 / 24 x 2 at the start.
+    let n: f64 = 2.5 * 0.13 * FULL / 24.0 * 2.0;
+    let allowed = n + 2.0 * n.sqrt() + 2.0;
+    let granted = granting(&owners, other, 2, None);
+    assert!(granted.len() >= 4 && granted.len() as f64 <= allowed, "{granted:?}, {allowed} push it over");
+    // A right may be used a lease late: a window sees what is granted a lease before it, too.
+    let undisturbed = granting(&owners, other, 40, None);
+    for &from in &undisturbed {
+        let n = 2.5 * (0.13 + 0.87 * (from as f64 / 24e6).min(1.0)) * FULL / 24.0 * 2.0;
+        let seen = undisturbed.iter().filter(|&&at| (from - LEASE.as_micros()..from + window).contains(&at));
+        let seen = seen.count() as f64;
+        assert!(seen <= n + 2.0 * n.sqrt() + 2.0, "{seen} that may be used within 2 s from {from}");
     }
-    assert_eq!(minted, 0);
+    // Owners that start anew every 100 ms, with a list that names the server, grant no turn twice.
+    let minted = granting(&owners, other, 40, Some(100_000));
+    assert!(minted.len() <= undisturbed.len(), "{} after {}", minted.len(), undisturbed.len());
+    let most = [&undisturbed, &minted].map(|granted| most_within(granted, window));
+    assert!(most[1] <= most[0], "{most:?} within a window");
     // A clock that is put back and on again makes none either.
     let owner = &mut all[owners[1].0 as usize];
     let before = grants(owner, other, 2 * SECOND, 1);
@@ -98,6 +134,30 @@
     assert!(before <= 1 && jumps <= 1, "{jumps} of a clock that jumps");
 }
 
+#[test]
+fn two_processes_of_an_owner_grant_no_turn_twice() {
+    let (_, owners, other) = tier(KEY);
+    let process = || {
+        let mut it = Rights::new(owners[0], RELAYS, ramp(), at(0));
+        it.list(std::iter::once((KEY, at(0))));
+        it
+    };
+    let (mut one, mut two, mut alone) = (process(), process(), process());
+    let (mut both, mut single) = (0, 0);
+    for now in (0..20 * SECOND).step_by(50_000) {
+        single += grants(&mut alone, other, now, 1);
+        both += grants(&mut one, other, now, 1);
+        two.beside(at(now), KEY, one.spent(KEY), FULL);
+        both += grants(&mut two, other, now, 1);
+        one.beside(at(now), KEY, two.spent(KEY), FULL);
+    }
+    assert!(single > 10 && both == single, "{both} by two processes, {single} by one");
+    // What is told of the server's last life bars no turn of this one.
+    let mut fresh = process();
+    fresh.beside(at(0), KEY, 500, FULL);
+    assert_eq!(fresh.spent(KEY), 0);
+}
+
 #[test]
 fn who_is_not_answered_asks_the_other_owner_and_then_goes_by_its_own_part() {
     let (mut all, owners, other) = tier(KEY);
@@ -115,8 +175,9 @@
     let answer = sent(all[first.to.0 as usize].hear(at(0), other, first.bytes(), FULL));
     let heard = all[other.0 as usize].hear(at(5 * SECOND), first.to, answer.bytes(), FULL);
     assert!(heard == Err(Unheard::Unasked), "{heard:?}");
-    // An owner needs nobody.
-    assert!(granted(&all[owners[0].0 as usize].ask(at(5 * SECOND), KEY, FULL)));
+    // An owner needs nobody, and has turns of its own: one in three seconds at this age at least.
+    let owner = &mut all[owners[0].0 as usize];
+    assert!((0..300).any(|step| granted(&owner.ask(at(5 * SECOND + step * 10_000), KEY, FULL))));
 }
 
 #[test]
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -236,7 +236,9 @@
     // A hundred relays hold one connection a server; a cold server must not draw a wave.
     let mut sent = 0;
     for seed in 0..100 {
-        let mut relay = Relay { module: Balancer::new(settings(Effect::Safe), seed), actions: Vec::new() };
+        let own = PeerId(seed as u32);
+        let settings = Settings { relays: 100, own, ..settings(Effect::Safe) };
+        let mut relay = Relay { module: Balancer::new(settings, seed), actions: Vec::new() };
         relay.list(0.0, ListNews::Whole, (0..10).map(listing).collect());
         for id in 0..10 {
             relay.event(0.5, Event::Existing { request: request(1_000 + id), server: ServerId(id) });
