--- a/src/ramp.rs
+++ b/src/ramp.rs
@@ -16,7 +16,7 @@
 /// Multiples of N, and of the 2 x root of N + 1 that the rule adds for chance, of which the turns of a window come within
 /// it. The rest may be spent late: much lateness suits gateways that see a client every few seconds, little suits
 /// owners, who are asked for all.
-const OWN_PACES: [f64; 2] = [1.0, 0.0];
+const OWN_PACES: [f64; 2] = [0.8, 0.0];
 const GRANTED_PACES: [f64; 2] = [0.72, 0.72];
 /// Turns by which the clocks of two processes of one holder may differ.
 const CLOCK_SLACK: f64 = 1.0;
