--- a/src/brain.rs
+++ b/src/brain.rs
@@ -329,7 +329,7 @@
         self.actions.push(Action::SetTimer { token: SUBSCRIBE, at });
     }
 
-    /// The list may not tell of a restart: it is cold, and earlier turns are lost. The next request goes there.
+    /// The list may not tell of a restart: it is cold, earlier turns are lost, the next request goes there.
     fn on_called_back(&mut self, now: Time, id: ServerId) {
         let born = self.server(id).born.filter(|_| self.is_new(now, id)).unwrap_or(now);
         let come = Schedule::own(&self.settings).come(now.since(born), self.full(now)) as u64;
