Module: a server called back that was just refused is not asked for in a circle

Cause: Balancer::choose returned an owed server (CalledBack) without looking at 'barred'. Elsewhere the asks go round as fast as datagrams do. Change: an owed server is chosen once its wait is over.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -408,8 +408,8 @@
     /// overrun. No draw keeps to the own zone: its one server would get two thirds of all that comes.
     fn choose(&mut self, now: Time, request: &Pending) -> Option<ServerId> {
         self.reckon_usual(now);
-        let owed = |id: ServerId| self.server(id).owed && !self.server(id).asked;
-        let owes = |id: &&ServerId| owed(**id) && self.may_get(now, request, **id);
+        let owed = |s: &Server| s.owed && !s.asked && now >= s.barred;
+        let owes = |id: &&ServerId| owed(self.server(**id)) && self.may_get(now, request, **id);
         if let Some(&owed) = self.new.iter().find(owes) {
             return Some(owed);
         }
