Stop: who has tried is failed only where trying again may do harm

Change: the module says (`harmless`) whether a refusal would be true, for the final answer and for the stop alike.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,9 +9,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::discovery::WAIT;
 use crate::interface::*;
-use crate::ramp::{Holder, Schedule};
+use crate::{discovery::WAIT, ramp::Holder, ramp::Schedule};
 
 /// Draws in search of a fit server before the whole list is walked.
 const QUICK_DRAWS: u32 = 6;
@@ -323,7 +322,7 @@
         }
     }
 
-    /// A call failed or the subscription broke: call again, with growing and jittered waits, so that it can be
+    /// A call failed or the subscription broke: call again, with growing, jittered waits, so that it can be
     /// answered before the rules count the list as told. A pushed one counts at once; its agent has no price.
     fn on_broken_list(&mut self, now: Time) {
         let pushed = self.settings.discovery == Discovery::Pushed;
@@ -671,11 +670,7 @@
     /// harm, else a failure, which promises nothing.
     fn answer_unserved(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id).filter(|r| !r.over) else { return };
-        let harmless = match self.class(request.class).effect {
-            Effect::Safe | Effect::Keyed { group: KeyedGroup::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => request.may_have_run.is_none(),
-        };
-        if harmless && request.out.is_none() {
+        if self.harmless(id) && request.out.is_none() {
             let most = self.settings.max_retry_after;
             self.actions.push(Action::Refuse { id, retry_after: most.scale(self.rng.random()) });
         } else {
@@ -684,6 +679,14 @@
         self.finish(id);
     }
 
+    /// Whether a refusal would be true: trying again does no harm, whatever has run.
+    pub fn harmless(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_none_or(|r| match self.class(r.class).effect {
+            Effect::Safe | Effect::Keyed { group: KeyedGroup::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Unsafe => r.may_have_run.is_none() && r.out.is_none(),
+        })
+    }
+
     /// The request is over; its record stays while an attempt is out, as that is still counted.
     fn finish(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -699,12 +699,10 @@
                 let open: Vec<RequestId> = self.records.keys().copied().collect();
                 for id in open {
                     self.send_away(id, Outcome::Cancelled, out);
-                    // A refusal says that trying again does no harm: of what was tried that is not known here.
-                    let tried = self.records.get(&id).map(|record| record.attempts > 0);
-                    if let Some(tried) = tried {
-                        let answer = if tried { Answer::Failed } else { Answer::Refused(GONE_OVER) };
-                        self.answer(id, answer, out);
-                    }
+                    // A refusal says that trying again does no harm.
+                    let harmless = self.module.harmless(id);
+                    let answer = if harmless { Answer::Refused(GONE_OVER) } else { Answer::Failed };
+                    self.answer(id, answer, out);
                 }
             }
         }
