--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -41,6 +41,8 @@
             }
         }
         begun = true;
+        // Also one that moved before the first call, or in the moment in which one is asked for.
+        moved |= address.has_changed().unwrap_or(false);
         let at = *address.borrow_and_update();
         if std::mem::take(&mut moved) {
             follower.after = 0;
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -458,7 +458,8 @@
     follower.ask();
     let mut call = service.call().await;
     call.tell(&list(42, false, &["a"])).await;
-    (follower.news().await, follower.watching().await);
+    follower.news().await;
+    follower.watching().await;
     call.reset();
     assert_eq!(follower.ended().await.end, End::Closed);
     // Nobody listens.
@@ -506,6 +507,15 @@
     assert_eq!(new.call().await.after, 0);
 }
 
+#[tokio::test]
+async fn a_move_before_the_first_call_leads_to_the_whole_list() {
+    let (old, new) = (Service::start().await, Service::start().await);
+    let follower = Follower::start(old.at, 41, 16);
+    follower.address.send_replace(new.at);
+    follower.ask();
+    assert_eq!(new.call().await.after, 0, "the version that it began with is the old one's");
+}
+
 #[tokio::test]
 async fn a_move_adds_no_second_chain_of_calls() {
     let (one, two) = (Service::start().await, Service::start().await);
