--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -11,6 +11,9 @@
 use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
 use tokio::time::Instant;
 
+mod paused;
+use paused::with_time;
+
 const SERVERS: u32 = 4;
 
 fn micros(ms: i64) -> Span {
@@ -145,11 +148,6 @@
     }
 }
 
-fn with_time<F: Future>(test: F) -> F::Output {
-    let mut runtime = tokio::runtime::Builder::new_current_thread();
-    runtime.enable_time().start_paused(true).build().expect("a runtime").block_on(test)
-}
-
 #[test]
 fn a_server_taken_out_gets_nothing_whatever_the_list_says_and_then_one_at_once() {
     with_time(async {
