--- a/tests/crossings/world.rs
+++ b/tests/crossings/world.rs
@@ -415,7 +415,7 @@
     /// The process of a gateway that new clients come to.
     fn current(&self, gateway: u32) -> Option<usize> {
         let here = |&at: &usize| self.processes[at].gateway == gateway;
-        self.live().into_iter().filter(here).next_back()
+        self.live().into_iter().rfind(here)
     }
 
     /// The call to leave has had its time: all that are open are answered and moved.
