Peers without an address: each gateway has turns of its own

Cause: `limits.peers` alone made a gateway ask for rights (src/net/core.rs); without `peer_listen` nobody can answer, and since owners have all turns a new server got nothing for twice its warm-up. Change: peers count as allowed where there is an address to ask at.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -99,7 +99,8 @@
         let unix = Duration::from_micros(unix_micros());
         let anchor = (Time::default() + span(unix), Instant::now());
         let names = config.facts.names();
-        let settings = config.facts.settings(&names);
+        // Peers that are allowed and have no address cannot be asked: each gateway then has turns of its own.
+        let settings = Settings { peers: config.peers.is_some(), ..config.facts.settings(&names) };
         let (sender, reports) = mpsc::channel(QUEUE);
         let figures = Arc::new(Figures::new(names.classes.names()));
         let (office, calls) = Office::new(figures.clone());
