--- a/crates/ashtide-fleet/src/page.rs
+++ b/crates/ashtide-fleet/src/page.rs
@@ -35,7 +35,7 @@
     pub from: Member,
     /// ...and how often it has contradicted a suspicion.
     pub incarnation: u16,
-    /// The sender's [`digest`].
+    /// The sender's `digest`.
     pub digest: u64,
     /// What is wanted of the receiver.
     pub wants: Wants,
