--- /dev/null
+++ b/deploy/sites/play.jq
@@ -0,0 +1,64 @@
+# One line a group of days of a play (the days of one first word, the worst of them named), and one for the play.
+# $play is the play's name. Reads what `lbreal score --json` writes.
+
+def pad($to): tostring | . + (" " * ([$to - length, 0] | max));
+def f3: if . == null then "?" else (. * 1000 | round) as $n | ($n | fabs) as $a
+  | (if $n < 0 then "-" else "" end) + ($a / 1000 | floor | tostring) + "." + ("00\($a % 1000)"[-3:]) end;
+def signed: if (. // 0) < 0 then f3 else "+" + f3 end;
+def sum(f): [.[] | f | .. | numbers] | add // 0;
+def named: to_entries | map(select(.value != 0) | "\(.key) \(.value)") | join(", ");
+
+# What the gate holds of a day, each with its distance: the day itself, classes and tenants that it looks at.
+def bars: .row as $row
+  | [["day", $row.served, $row.served_least]]
+    + [$row.by_class[]? | .[0] |= "class " + .] + [$row.by_tenant[]? | .[0] |= "tenant " + .]
+  | map(select((.[1] != null) and ((.[2] // 0) > 0))
+        | {what: .[0], served: .[1], wanted: .[2], over: (.[1] - .[2])});
+# The bar that is nearest to being missed.
+def nearest: [.[] | .row.name as $day | .row.seed as $seed | bars[] | . + {day: $day, seed: $seed}] | min_by(.over);
+
+def counts: . as $days
+  | (reduce (.[] | .row.rules // {} | to_entries[]) as $rule ({}; .[$rule.key] += $rule.value) | named) as $rules
+  | ({left: sum(.real.seen.left_waiting), gone: sum(.real.seen.gone_waiting),
+      closed: sum(.real.seen.closed_unserved), unreached: sum(.real.seen.unreached)} | named) as $rest
+  | [.[].real.seen.restart_s[]?] as $restarts
+  | ([.[] | .row.fault // .fault | values] | unique | map(tostring)) as $faults
+  | "rules \(if $rules == "" then "kept" else "BROKEN " + $rules end)"
+    + "  unanswered \(sum(.real.seen.overdue))\(if $rest == "" then "" else " (\($rest))" end)"
+    + "  turned all away \(sum(.row.shunned))"
+    + "  restarts \($restarts | length)"
+    + (if $restarts == [] then "" else
+        " (\([$restarts[] | select(. <= 10)] | length * 1000 / ($restarts | length) | round / 10) % in 10 s)" end)
+    + "  faults \($faults | length)\(if $faults == [] then "" else ": " + ($faults | join("; ")) end)";
+
+# On the days of `--panel brink` the page asks for less than the days' own figures: over all days a third of what
+# the late-seeing policy serves, in all and of each class, and a fifth on each day but `crowd`.
+def brink: if all(.[]; .row.name | contains("brink")) | not then "" else
+    [{what: "all", offered: sum(.worth_offered), served: sum(.worth_served),
+      late: ([.[] | (.row.served_late // 0) * .worth_offered] | add)}]
+    + ([.[] | .row.by_class as $by | .classes[] | .name as $name
+        | . + {what: .name, late: (.offered * 2 * ([$by[] | select(.[0] == $name) | .[2]] | add // 0))}]
+       | group_by(.what)
+       | map({what: .[0].what, offered: (map(.offered) | add), served: (map(.served) | add), late: (map(.late) | add)}))
+    | map("\(.what) \(.served / .offered | f3) of \(.late / .offered / 3 | f3)") | join(", ")
+  end;
+def fifth: [.[] | .row | select((.name | contains("crowd") | not) and .served != null)
+  | .served - .served_late / 5] | min;
+
+def line($day): nearest as $it
+  | ([.[] | select(.row.gate != null) | "\(.row.name): \(.row.gate)"] | join("; ")) as $missed
+  | "\($play | pad(22)) \($day | pad(8)) \(length | pad(2)) days  "
+    + "served \([.[].row.served] | min | f3) to \([.[].row.served] | max | f3)  "
+    + (if $it == null then "nothing measured  " else
+        "least \($it.over | signed) (\($it.what) \($it.served | f3) of \($it.wanted | f3), "
+        + "\($it.day), seed \($it.seed))  " end)
+    + counts + (if $missed == "" then "" else "  GATE \($missed)" end);
+
+. as $root | .days as $days
+| (reduce ($days[] | .row.name | split("+")[0]) as $it ([]; if index([$it]) then . else . + [$it] end)) as $groups
+| ($groups[] as $it | [$days[] | select(.row.name | split("+")[0] == $it)] | line($it)),
+  ($days | line("ALL")
+    + (brink | if . == "" then "" else "  third over all days: \(.)" end)
+    + (if ($days | brink) == "" then "" else "  fifth of a day: \($days | fifth | signed)" end)
+    + "  score \($root.score // 0 | f3)  "
+    + if $root.gate.passed then "GATE PASSED" else "GATE FAILED: \($root.gate.why)" end)
