--- a/crates/ashtide-rehearsal/src/lib.rs
+++ b/crates/ashtide-rehearsal/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ledger;
 pub mod relay;
 pub mod scenarios;
+pub mod system_faults;
 
 use std::io;
 use std::time::Duration;
--- /dev/null
+++ b/tests/system_faults.rs
@@ -0,0 +1,129 @@
+//! System calls that fail in ways that Linux documents, under the real daemon: what fails on the daemon's own machine is
+//! never held against a client or a server.
+
+mod site;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use ashtide_rehearsal::clients::LineClient;
+use ashtide_rehearsal::daemon::{Daemon, Options};
+use ashtide_rehearsal::fleet::Fleet;
+use ashtide_rehearsal::system_faults::{Preload, SystemFaults};
+use ashtide_rehearsal::within;
+use futures_util::future::join_all;
+use serde_json::json;
+use site::Site;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Clients of one play: one after the other they wait a second or two in all.
+const CLIENTS: u64 = 60;
+/// Faults without which a play has shown nothing.
+const FAULTS: u64 = 10;
+
+/// A daemon before this fleet whose system calls fail so.
+async fn start(fleet: &Fleet, faults: SystemFaults, options: Options) -> (Daemon, Preload) {
+    let preload = faults.preload().expect("a library");
+    let mut options = options;
+    options.environment.extend(preload.environment.iter().cloned());
+    let program = Path::new(env!("CARGO_BIN_EXE_ashtide"));
+    (Daemon::start(program, fleet, &options).await.expect("a daemon"), preload)
+}
+
+/// How many of so many clients come up, one after the other.
+async fn come_up(daemon: SocketAddr, clients: u64) -> (Vec<LineClient>, Vec<String>) {
+    let (mut up, mut others) = (Vec::new(), Vec::new());
+    for number in 0..clients {
+        match LineClient::open(daemon, number).await {
+            Ok((client, answer)) if answer.starts_with("UP ") => up.push(client),
+            Ok((_, answer)) => others.push(answer),
+            Err(error) => others.push(error.to_string()),
+        }
+    }
+    (up, others)
+}
+
+/// Whether the connection has neither been answered nor ended by then.
+async fn rests(client: &mut TcpStream, until: Instant) -> bool {
+    let wait = until.saturating_duration_since(Instant::now());
+    timeout(wait, client.read_u8()).await.is_err()
+}
+
+#[tokio::test]
+async fn accepts_that_fail_for_a_moment_evict_no_client_that_rests() {
+    let fleet = Fleet::start(2).await.expect("a fleet");
+    let faults = SystemFaults { accept: 2, ..SystemFaults::default() };
+    let (daemon, preload) = start(&fleet, faults, Options::default()).await;
+    let mut resting = Vec::new();
+    for _ in 0..24 {
+        resting.push(TcpStream::connect(daemon.lines).await.expect("taken"));
+    }
+    let until = Instant::now() + Duration::from_millis(1500);
+    let (up, others) = come_up(daemon.lines, CLIENTS).await;
+    assert!(up.len() as u64 == CLIENTS, "not up: {others:?}");
+    let rest = join_all(resting.iter_mut().map(|client| rests(client, until))).await;
+    let evicted = rest.iter().filter(|rests| !**rests).count();
+    assert_eq!(evicted, 0, "of {} clients that rest", rest.len());
+    let counts = preload.counts().expect("counted");
+    assert!(counts.accept >= FAULTS, "{counts:?}");
+}
+
+#[tokio::test]
+async fn accepts_that_fail_as_a_process_ends_drop_nobody() {
+    let fleet = Fleet::start(1).await.expect("a fleet");
+    let faults = SystemFaults { accept: 2, ..SystemFaults::default() };
+    let (daemon, preload) = start(&fleet, faults, Options::default()).await;
+    // It does not take clients in as the last of its time passes: all of them wait in the queue.
+    daemon.terminate().expect("it runs");
+    sleep(Duration::from_millis(500)).await;
+    let mut ends = Vec::new();
+    for id in 0.. {
+        let Ok(mut client) = LineClient::connect(daemon.lines).await else { break };
+        ends.push(tokio::spawn(async move {
+            // The process may end before it has taken this one in.
+            let _ = client.say(&format!("OPEN {id:016x} {id:016x} c=meter,d=3000,g={id:x}")).await;
+            let word = client.next().await.ok().flatten();
+            word.is_some_and(|word| word.starts_with("BUSY") || word.starts_with("UP "))
+        }));
+        sleep(Duration::from_millis(1)).await;
+    }
+    let ends = join_all(ends).await;
+    let dropped = ends.iter().filter(|end| !matches!(end, Ok(true))).count();
+    let counts = preload.counts().expect("counted");
+    assert!(
+        ends.len() > 40 && dropped <= 3,
+        "{dropped} of {} closed without an answer, {counts:?}",
+        ends.len()
+    );
+    assert!(counts.accept >= FAULTS, "{counts:?}");
+}
+
+#[tokio::test]
+async fn short_reads_and_writes_and_interrupted_waits_lose_no_byte() {
+    let site = Site::new(1).await;
+    let faults = SystemFaults { short: 2, interrupt: 3, ..SystemFaults::default() };
+    let preload = faults.preload().expect("a library");
+    let mut options = site.options(&json!({}));
+    options.environment.extend(preload.environment.iter().cloned());
+    let daemon = site.start(&options).await;
+    for length in [1, 2, 300, 3000] {
+        let (mut client, mut attempt) = site.standing(daemon.lines).await;
+        let line = "x".repeat(length);
+        client.say(&line).await.expect("heard");
+        let mut heard = vec![0; length + 2];
+        within("the line", attempt.stream.read_exact(&mut heard)).await.expect("in time").expect("whole");
+        assert_eq!(heard, format!("{line}\r\n").as_bytes());
+        let lines = format!("{line}\r\nand {line}\r\n");
+        attempt.stream.write_all(lines.as_bytes()).await.expect("heard");
+        assert_eq!(client.next().await.expect("in time").as_deref(), Some(&*line));
+        assert_eq!(client.next().await.expect("in time"), Some(format!("and {line}")));
+    }
+    // Discovery's list and operators' calls come by the same reads and writes.
+    daemon.says("discovery: ").await.expect("a watch");
+    assert!(daemon.call("health").await.expect("an answer").starts_with("200"));
+    let counts = preload.counts().expect("counted");
+    assert!(counts.short >= FAULTS && counts.interrupt >= FAULTS, "{counts:?}");
+}
