Failed accepts evict nobody, and sockets are read and written until EWOULDBLOCK

Causes, as seen in tests/system_faults.rs: `listen::serve` called `Lobby::short` after any error of accept and waited 20 ms; its last look at the queue ended at the first error. The runtime takes a read or write that moves less than it might for a drained or full socket and waits for an event, which Linux reports once (epoll(7)).

Change: `net::accept` reads the error: EMFILE, ENFILE, ENOBUFS, ENOMEM are a shortage, tried again at once, then after 20 ms, and make room only when that fails, too; all else is momentary (accept(2)). The last look goes on behind errors, within 100 ms. The admin endpoint uses the same. `net::stream`: halves of TCP and Unix streams that go on until EWOULDBLOCK, for clients, servers, discovery, probes, the admin endpoint and the other process of a gateway.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,6 +12,7 @@
 use tracing::info;
 
 use super::report::{Handle, Report};
+use super::stream::{TcpReader, TcpWriter, split_tcp};
 use crate::discovery::{CALL, End, News, QUIET, WatchCodec, WatchError, WatchEvent, watch_request};
 
 /// What is read of a watch at a time.
@@ -102,7 +103,8 @@
         let mut deadline = Instant::now() + CALL;
         let late = || io::Error::from(io::ErrorKind::TimedOut);
         let ask = connect(address, self.after);
-        let mut stream = timeout_at(deadline, ask).await.map_err(|_| late())??;
+        // The writing half is kept: without it the sending would be shut down.
+        let (mut stream, _write) = timeout_at(deadline, ask).await.map_err(|_| late())??;
         let (mut codec, mut buffer) = (WatchCodec::default(), BytesMut::with_capacity(ROOM));
         loop {
             // Bytes alone put nothing off. What has come by the deadline is read first, also by a process
@@ -150,9 +152,10 @@
 }
 
 /// Connects and asks for what came after this version.
-async fn connect(address: SocketAddr, after: u64) -> io::Result<TcpStream> {
-    let mut stream = TcpStream::connect(address).await?;
+async fn connect(address: SocketAddr, after: u64) -> io::Result<(TcpReader, TcpWriter)> {
+    let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    stream.write_all(watch_request(&address.to_string(), after).as_bytes()).await?;
-    Ok(stream)
+    let (read, mut write) = split_tcp(stream);
+    write.write_all(watch_request(&address.to_string(), after).as_bytes()).await?;
+    Ok((read, write))
 }
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -16,9 +16,11 @@
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 
+use super::accept::{AcceptRetries, Next, SHORTAGE_RETRY};
 use super::log::Limited;
 use super::socket;
 use super::state;
+use super::stream::{TcpWriter, split_tcp};
 use super::view::Board;
 use super::{maintenance, quota};
 use crate::config::DOOR_CALLERS;
@@ -36,8 +38,6 @@
 const ASKED: Duration = Duration::from_millis(150);
 /// Calls that may wait for the core: each caller has one.
 const CALLS: usize = DOOR_CALLERS;
-/// After an accept that failed, the next one waits a little.
-const AFTER_FAILURE: Duration = Duration::from_millis(20);
 
 static TROUBLE: Limited = Limited::new("operator");
 
@@ -210,12 +210,15 @@
                 }
             }
         };
+        let mut retries = AcceptRetries::default();
         let caller = loop {
             match listener.accept().await {
                 Ok((caller, _)) => break caller,
                 Err(error) => {
                     TROUBLE.say(format_args!("accept failed: {error}"));
-                    tokio::time::sleep(AFTER_FAILURE).await;
+                    if retries.failed(&error) != Next::Retry {
+                        tokio::time::sleep(SHORTAGE_RETRY).await;
+                    }
                 }
             }
         };
@@ -247,13 +250,14 @@
 }
 
 /// A caller's call, and the caller; none where nobody is there to be answered.
-async fn hear(caller: TcpStream) -> Option<(Result<Call, CallError>, TcpStream)> {
+async fn hear(caller: TcpStream) -> Option<(Result<Call, CallError>, TcpWriter)> {
     let _ = caller.set_nodelay(true);
-    let mut calls = FramedRead::new(caller, CallCodec);
+    let (read, write) = split_tcp(caller);
+    let mut calls = FramedRead::new(read, CallCodec);
     let call = match timeout(PATIENCE, calls.next()).await {
         Ok(None | Some(Err(CallError::Io(_)))) => return None,
         Ok(Some(call)) => call,
         Err(_) => Err(CallError::Late),
     };
-    Some((call, calls.into_inner()))
+    Some((call, write))
 }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -12,7 +12,6 @@
 use futures_util::StreamExt;
 use futures_util::future::join_all;
 use tokio::io::AsyncWriteExt;
-use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, UnixListener, UnixStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -22,6 +21,7 @@
 use super::lobby::Lobby;
 use super::passing::{Heir, Inbox};
 use super::report::{Handle, Report};
+use super::stream::{UnixReader, UnixWriter, split_unix};
 use crate::config::Config;
 use crate::discovery::News;
 use crate::handover::{Call, Cordons, Deployment, Kept, MAX_WORD, Others, Share, State, Word, WordCodec};
@@ -268,7 +268,7 @@
     u64::try_from(unix.as_micros()).unwrap_or(u64::MAX).saturating_add_signed(*OFFSET)
 }
 
-type Reader = FramedRead<OwnedReadHalf, WordCodec>;
+type Reader = FramedRead<UnixReader, WordCodec>;
 
 /// What the core has of its own process: what it tells the others, and what it keeps.
 pub struct Post {
@@ -362,7 +362,7 @@
 /// A link to a process that was met.
 struct Link {
     words: Reader,
-    write: OwnedWriteHalf,
+    write: UnixWriter,
     /// How the other stands; nothing where it has told nothing yet.
     state: Option<State>,
 }
@@ -379,7 +379,7 @@
 async fn greet(path: PathBuf) -> Option<(PathBuf, Link, Option<News>)> {
     match timeout(MEET, UnixStream::connect(&path)).await {
         Ok(Ok(link)) => {
-            let (read, write) = link.into_split();
+            let (read, write) = split_unix(link);
             let mut words = FramedRead::new(read, WordCodec::default());
             let mut list = None;
             let told = async {
@@ -496,7 +496,7 @@
             continue;
         }
         number += 1;
-        let (read, write) = link.into_split();
+        let (read, write) = split_unix(link);
         links.set(number, Some(State::default())).await;
         tokio::spawn(links.clone().link(number, FramedRead::new(read, WordCodec::default()), write, false));
     }
@@ -505,7 +505,7 @@
 impl Links {
     /// Keeps one link; `ours` where the other end has said whose it is already. Before it does, none of its
     /// words is taken.
-    async fn link(mut self, number: u64, mut words: Reader, mut write: OwnedWriteHalf, mut ours: bool) {
+    async fn link(mut self, number: u64, mut words: Reader, mut write: UnixWriter, mut ours: bool) {
         let (mut told, mut early) = (None, None);
         self.telling.mark_changed();
         loop {
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,19 +1,23 @@
 //! Takes clients of the lines front in: those that come, and those of a process that leaves.
 
+use std::io;
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::accept::{AcceptRetries, Next, SHORTAGE_RETRY};
 use super::log::Limited;
 use super::passing::Inbox;
 use super::session::Front;
 
-/// After an accept that failed (no descriptor left, say), the next one waits a little.
+/// After a connection that could not be taken over, the next one waits a little.
 const AFTER_FAILURE: Duration = Duration::from_millis(20);
 /// Clients accepted in a row before those accepted get their turn: a burst must not keep the others
 /// and the core waiting, nor displace a client that has not had the chance to be heard.
 const IN_A_ROW: usize = 8;
+/// Waits for descriptors as the process ends, at most: less than the core gives last answers to be written.
+const LAST_WAITS: u32 = 5;
 
 static TROUBLE: Limited = Limited::new("clients");
 static PASSED: Limited = Limited::new("handover");
@@ -32,7 +36,7 @@
         tokio::spawn(front.clone().meet(client, place));
         crowded
     };
-    let mut row = 0;
+    let (mut row, mut retries) = (0, AcceptRetries::default());
     loop {
         let accepted = tokio::select! {
             biased;
@@ -42,6 +46,7 @@
         };
         match accepted {
             Ok((client, _)) => {
+                retries.succeeded();
                 let crowded = take_in(client);
                 row += 1;
                 if crowded || row >= IN_A_ROW {
@@ -51,19 +56,49 @@
             }
             Err(error) => {
                 TROUBLE.say(format_args!("accept failed: {error}"));
-                front.lobby.short();
-                tokio::time::sleep(AFTER_FAILURE).await;
+                let next = retries.failed(&error);
+                if next == Next::MakeRoom {
+                    front.lobby.short();
+                }
+                if next != Next::Retry {
+                    tokio::time::sleep(SHORTAGE_RETRY).await;
+                }
             }
         }
     }
-    // Of the socket itself, as the runtime may not have heard yet of those that wait. A queue that is the
-    // successor's is left to it.
-    let Ok(listener) = listener.into_std() else { return };
-    while let Some(Ok((client, _))) = accepting.borrow().then(|| listener.accept()) {
-        if client.set_nonblocking(true).is_ok()
-            && let Ok(client) = TcpStream::from_std(client)
-        {
-            take_in(client);
+    // A queue that is the successor's is left to it.
+    if *accepting.borrow()
+        && let Ok(listener) = listener.into_std()
+    {
+        take_in_the_rest(&listener, take_in).await;
+    }
+}
+
+/// Takes in all that wait in the queue of a listener that is about to close.
+async fn take_in_the_rest(listener: &std::net::TcpListener, take_in: impl Fn(TcpStream) -> bool) {
+    let (mut retries, mut waits) = (AcceptRetries::default(), 0);
+    loop {
+        // Of the socket itself, as the runtime may not have heard yet of those that wait.
+        match listener.accept() {
+            Ok((client, _)) => {
+                retries.succeeded();
+                if client.set_nonblocking(true).is_ok()
+                    && let Ok(client) = TcpStream::from_std(client)
+                {
+                    take_in(client);
+                }
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+            Err(error) => {
+                TROUBLE.say(format_args!("accept failed: {error}"));
+                if retries.failed(&error) != Next::Retry {
+                    waits += 1;
+                    if waits > LAST_WAITS {
+                        return;
+                    }
+                    tokio::time::sleep(SHORTAGE_RETRY).await;
+                }
+            }
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Drivers: what reads and writes sockets, one file a concern. They decide nothing.
 
+pub mod accept;
 pub mod core;
 pub mod discovery;
 pub mod door;
@@ -18,5 +19,6 @@
 pub mod session;
 pub mod socket;
 pub mod state;
+pub mod stream;
 pub mod view;
 pub mod vrrp;
--- a/src/net/probe.rs
+++ b/src/net/probe.rs
@@ -11,10 +11,12 @@
 
 use ashtide_wire::{LineCodec, PONG};
 
+use super::stream::split_tcp;
+
 /// Probes once; whether the server answered properly within `limit`.
 pub async fn run(address: SocketAddr, limit: Duration) -> bool {
     let probe = async {
-        let (read, mut write) = TcpStream::connect(address).await.ok()?.into_split();
+        let (read, mut write) = split_tcp(TcpStream::connect(address).await.ok()?);
         write.write_all(b"PING\r\n").await.ok()?;
         FramedRead::new(read, LineCodec::default()).next().await?.ok()
     };
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -15,7 +15,6 @@
 use futures_util::StreamExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Chain};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, watch};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -30,6 +29,7 @@
 use super::log::Limited;
 use super::passing::Heir;
 use super::report::{Ask, COMMANDS, Command, Handle, Report, duration, span};
+use super::stream::{TcpReader, TcpWriter, split_tcp};
 use crate::engine::Answer;
 use crate::figures::{Closed, Count};
 use crate::handover::Standing;
@@ -69,12 +69,12 @@
 }
 
 /// What another process has read of the socket and not passed on comes first.
-type Source = Chain<Cursor<Bytes>, OwnedReadHalf>;
+type Source = Chain<Cursor<Bytes>, TcpReader>;
 type Lines = FramedRead<Source, LineCodec>;
 
 struct Peer {
     lines: Lines,
-    write: OwnedWriteHalf,
+    write: TcpWriter,
 }
 
 impl Peer {
@@ -85,7 +85,7 @@
     /// A socket of which so much has been read already.
     fn taken_over(stream: TcpStream, read_before: Bytes) -> Self {
         let _ = stream.set_nodelay(true);
-        let (read, write) = stream.into_split();
+        let (read, write) = split_tcp(stream);
         let source = AsyncReadExt::chain(Cursor::new(read_before), read);
         Self { lines: FramedRead::with_capacity(source, LineCodec::default(), LINE_ROOM), write }
     }
@@ -96,7 +96,7 @@
         let (before, read) = self.lines.into_inner().into_inner();
         let from = usize::try_from(before.position()).unwrap_or(usize::MAX).min(before.get_ref().len());
         unread.extend_from_slice(&before.get_ref()[from..]);
-        let stream = read.reunite(self.write).map_err(std::io::Error::other)?;
+        let stream = read.reunite(self.write)?;
         Ok((stream.into_std()?, unread.freeze()))
     }
 
