--- a/crates/ashtide-client/src/connection.rs
+++ b/crates/ashtide-client/src/connection.rs
@@ -6,12 +6,12 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+use ashtide_stream::{TcpReader, TcpWriter, split_tcp};
 use ashtide_wire::{GatewayEvent, GatewaySide, LineCodec, LineError, PeerFault};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 use tokio_util::codec::FramedRead;
@@ -89,8 +89,8 @@
 
 struct Connection {
     attempt: Attempt,
-    read: FramedRead<OwnedReadHalf, LineCodec>,
-    write: OwnedWriteHalf,
+    read: FramedRead<TcpReader, LineCodec>,
+    write: TcpWriter,
     side: GatewaySide,
     /// What is left of the line that is being written, and all of it.
     writing: Bytes,
@@ -354,7 +354,7 @@
     fn new(attempt: Attempt, stream: TcpStream) -> Self {
         // Lines are short and somebody waits for each.
         let _ = stream.set_nodelay(true);
-        let (read, write) = stream.into_split();
+        let (read, write) = split_tcp(stream);
         Self {
             attempt,
             read: FramedRead::with_capacity(read, LineCodec::default(), LINE_ROOM),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use ashtide_stream::{TcpReader, TcpWriter, split_tcp};
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -12,7 +13,7 @@
 use tracing::info;
 
 use super::report::{Handle, Report};
-use super::stream::{TcpReader, TcpWriter, split_tcp};
+
 use crate::discovery::{CALL, End, News, QUIET, WatchCodec, WatchError, WatchEvent, watch_request};
 
 /// What is read of a watch at a time.
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use ashtide_stream::{TcpWriter, split_tcp};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use tokio::io::AsyncWriteExt;
@@ -20,7 +21,7 @@
 use super::log::Limited;
 use super::socket;
 use super::state;
-use super::stream::{TcpWriter, split_tcp};
+
 use super::view::Board;
 use super::{maintenance, quota};
 use crate::config::DOOR_CALLERS;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, LazyLock, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use ashtide_stream::{UnixReader, UnixWriter, split_unix};
 use futures_util::StreamExt;
 use futures_util::future::join_all;
 use tokio::io::AsyncWriteExt;
@@ -21,7 +22,7 @@
 use super::lobby::Lobby;
 use super::passing::{Heir, Inbox};
 use super::report::{Handle, Report};
-use super::stream::{UnixReader, UnixWriter, split_unix};
+
 use crate::config::Config;
 use crate::discovery::News;
 use crate::handover::{Call, Cordons, Deployment, Kept, MAX_WORD, Others, Share, State, Word, WordCodec};
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,5 @@
 pub mod session;
 pub mod socket;
 pub mod state;
-pub mod stream;
 pub mod view;
 pub mod vrrp;
--- a/src/net/probe.rs
+++ b/src/net/probe.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ashtide_stream::split_tcp;
 use futures_util::StreamExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -11,8 +12,6 @@
 
 use ashtide_wire::{LineCodec, PONG};
 
-use super::stream::split_tcp;
-
 /// Probes once; whether the server answered properly within `limit`.
 pub async fn run(address: SocketAddr, limit: Duration) -> bool {
     let probe = async {
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashtide_stream::{TcpReader, TcpWriter, split_tcp};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Chain};
@@ -29,7 +30,7 @@
 use super::log::Limited;
 use super::passing::Heir;
 use super::report::{Ask, COMMANDS, Command, Handle, Report, duration, span};
-use super::stream::{TcpReader, TcpWriter, split_tcp};
+
 use crate::engine::Answer;
 use crate::figures::{Closed, Count};
 use crate::handover::Standing;
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -23,6 +23,9 @@
 const CLIENTS: u64 = 60;
 /// Faults without which a play has shown nothing.
 const FAULTS: u64 = 10;
+/// The daemon sets its gauges this often, and a little more.
+const METRICS_EVERY: Duration = Duration::from_millis(300);
+const HOUR_MS: i64 = 3_600_000;
 
 /// A daemon before this fleet whose system calls fail so.
 async fn start(fleet: &Fleet, faults: SystemFaults, options: Options) -> (Daemon, Preload) {
@@ -33,6 +36,17 @@
     (Daemon::start(program, fleet, &options).await.expect("a daemon"), preload)
 }
 
+fn with_operator() -> Options {
+    Options { config: json!({"operator": "127.0.0.1:0"}), ..Options::default() }
+}
+
+/// One of the daemon's metrics.
+async fn metric(daemon: &Daemon, name: &str) -> u64 {
+    let text = daemon.call("counters").await.expect("an answer");
+    let value = text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+    value.unwrap_or_else(|| panic!("no {name} in {text}"))
+}
+
 /// How many of so many clients come up, one after the other.
 async fn come_up(daemon: SocketAddr, clients: u64) -> (Vec<LineClient>, Vec<String>) {
     let (mut up, mut others) = (Vec::new(), Vec::new());
@@ -101,6 +115,27 @@
     assert!(counts.accept >= FAULTS, "{counts:?}");
 }
 
+#[tokio::test]
+async fn connects_that_fail_on_this_machine_are_held_against_no_server() {
+    for faults in
+        [SystemFaults { connect: 3, ..Default::default() }, SystemFaults { socket: 3, ..Default::default() }]
+    {
+        let fleet = Fleet::start(3).await.expect("a fleet");
+        let (daemon, preload) = start(&fleet, faults, with_operator()).await;
+        let mut avoided = 0;
+        for round in 0..6 {
+            let (up, others) = come_up(daemon.lines, CLIENTS / 6).await;
+            assert!(up.len() as u64 == CLIENTS / 6, "not up in round {round}: {others:?}");
+            sleep(METRICS_EVERY).await;
+            avoided = avoided.max(metric(&daemon, "router_skipped_reading_servers").await);
+        }
+        assert_eq!(avoided, 0, "servers avoided that are sound, {faults:?}");
+        assert_eq!(metric(&daemon, "router_upstream_tries_total{category=\"meter\"}").await, CLIENTS);
+        let counts = preload.counts().expect("counted");
+        assert!(counts.connect + counts.socket >= FAULTS, "{counts:?}");
+    }
+}
+
 #[tokio::test]
 async fn short_reads_and_writes_and_interrupted_waits_lose_no_byte() {
     let site = Site::new(1).await;
@@ -127,3 +162,49 @@
     let counts = preload.counts().expect("counted");
     assert!(counts.short >= FAULTS && counts.interrupt >= FAULTS, "{counts:?}");
 }
+
+#[tokio::test]
+async fn a_successor_takes_over_whatever_the_wall_clock_says() {
+    for clock_step_ms in [-HOUR_MS, HOUR_MS] {
+        let site = Site::new(2).await;
+        let (shared, at) = site.shared();
+        let options = Options { shared: Some(shared), ..site.options(&json!({})) };
+        let first = site.start(&options).await;
+        let mut clients = Vec::new();
+        for _ in 0..4 {
+            clients.push(site.standing(at).await);
+        }
+        let preload = SystemFaults { clock_step_ms, ..Default::default() }.preload().expect("a library");
+        let mut options = options;
+        options.environment.extend(preload.environment.iter().cloned());
+        let second = site.start(&options).await;
+        first.says("handover: its successor takes the clients").await.expect("the successor is known");
+        // A call at either is known to both, and the later one counts.
+        for (process, call, said) in [
+            (&first, "cordon s-0", "operator: s-0 is out"),
+            (&second, "uncordon s-0", "operator: s-0 is back"),
+            (&first, "cordon s-1", "operator: s-1 is out"),
+            (&second, "uncordon s-1", "operator: s-1 is back"),
+        ] {
+            assert!(process.call(call).await.expect("an answer").starts_with("200"), "{call}");
+            first.says(said).await.expect("known to the first");
+            second.says(said).await.expect("known to the second");
+        }
+        first.terminate().expect("it runs");
+        let (status, said) = first.end().await.expect("it ends");
+        assert!(status.success(), "{status}");
+        assert!(
+            said.iter().any(|line| line == "handover: passes 4 connections to its successor"),
+            "{said:?}"
+        );
+        for (client, server) in &mut clients {
+            client.say("still there").await.expect("it stands");
+            let mut heard = [0; 13];
+            within("a line", server.stream.read_exact(&mut heard))
+                .await
+                .expect("in time")
+                .expect("it stands");
+        }
+        assert!(preload.counts().expect("counted").clock > 0);
+    }
+}
