What this machine lacks is held against no server, and no order rests on the wall clock

Causes, as seen (tests/system_faults.rs, and starts an hour off): `session::connected` made ConnectError of every error, which sets a server aside; `quic::open_path` and the reader of its sockets likewise. A process's rank was its start by the wall clock, so a successor whose clock was put back never took the clients; the last of two cordon calls was told by it. `Core::news` took `since_ms` for a time of the core's own clock: 23 of 60 clients to a server that had just started where the clock was an hour ahead, 1 where it was true; where it was behind, a server stayed cold for an hour.

Change: `net::connect` tries on within the connect time as long as this machine fails; what lacks resources all the time is the new `Outcome::LocalFailure`, which no judgement of servers counts. `handover::rank` puts a process above those it finds; `Cordons::call_now` puts a call behind those it knows. `start_times` (no clock, no socket) turns a start into monotonic time once: never in the future, and not before the list was last in step without the server. `Core::new` no longer returns an error that it cannot have.

Not mended: the first list of a process that starts with its clock ahead and finds no process beside it; nothing tells.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -802,7 +802,7 @@
             Outcome::Ok => self.server_did_well(id),
             Outcome::Reset if established => self.on_drop(now, id),
             Outcome::ConnectError => self.on_fail(now, id, FAILS_TO_SET_ASIDE),
-            Outcome::Cancelled | Outcome::Ignored => {}
+            Outcome::Cancelled | Outcome::Ignored | Outcome::LocalFailure => {}
             _ => self.on_fail(now, id, 1),
         }
     }
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -101,7 +101,7 @@
 pub struct State {
     /// Whose process it is.
     pub whose: Option<Deployment>,
-    /// When it started, in microseconds of Unix time: the younger is the successor.
+    /// Its rank among the processes of its gateway: the highest is the successor. See [`rank`].
     pub started: u64,
     /// Whether it takes clients.
     pub ready: bool,
@@ -117,6 +117,13 @@
     pub cordons: Cordons,
 }
 
+/// The rank of a process that starts at `unix_micros` of a wall clock, which may be stepped between two starts, and
+/// finds processes of these ranks: higher than all of them, and another than that of a process which starts beside it.
+pub fn rank(unix_micros: u64, found: impl Iterator<Item = u64>, process_id: u32) -> u64 {
+    let above = found.max().map_or(0, |highest| highest.saturating_add(1).saturating_add(process_id.into()));
+    unix_micros.max(above)
+}
+
 /// One word from process to process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -284,7 +291,7 @@
 /// The last call on a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Call {
-    /// When, in microseconds of Unix time.
+    /// Orders the calls on a server: microseconds of Unix time, or more where the clock was stepped back.
     pub at: u64,
     /// Whether the server is out since.
     pub out: bool,
@@ -296,6 +303,13 @@
 pub struct Cordons(BTreeMap<String, Call>);
 
 impl Cordons {
+    /// Takes a call that is made now, by a wall clock that may have been stepped back: it comes after all calls on the
+    /// server that are known here.
+    pub fn call_now(&mut self, server: &str, unix_micros: u64, out: bool) {
+        let after = self.0.get(server).map_or(0, |last| last.at.saturating_add(1));
+        self.call(server, Call { at: unix_micros.max(after), out });
+    }
+
     /// Takes a call; whether it changes anything for the server.
     pub fn call(&mut self, server: &str, call: Call) -> bool {
         let last = self.0.get(server).copied();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -359,12 +359,15 @@
     Cancelled,
     /// Never sent.
     Ignored,
+    /// This machine could not try, for want of a port, descriptor or buffer: it never ran, and says nothing of the
+    /// server.
+    LocalFailure,
 }
 
 impl Outcome {
     /// Whether the outcome proves that the attempt had no effect.
     pub const fn never_ran(self) -> bool {
-        matches!(self, Outcome::QueueFull | Outcome::ConnectError | Outcome::Ignored)
+        matches!(self, Outcome::QueueFull | Outcome::ConnectError | Outcome::Ignored | Outcome::LocalFailure)
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod quota;
 pub mod ramp;
 pub mod rights;
+pub mod start_times;
 pub mod state;
 pub mod view;
 pub mod vrrp;
--- a/src/main.rs
+++ b/src/main.rs
@@ -97,7 +97,6 @@
         Some(number) => socket::adopt(number).map_err(|e| format!("ROUTER_INHERITED_FD: '{number}': {e}"))?,
         None => socket::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?,
     };
-    let started = handover::unix_micros();
     // One call asked for while another runs: the queue's one place says so.
     let (subscribe, subscriptions) = mpsc::channel(1);
     let others = fronts.quic.as_ref().map_or(0, |quic| quic.paths);
@@ -105,6 +104,7 @@
     let lobby = Lobby::new(room);
     let whose = handover::deployment(&config, &listener);
     let place = config.folder.as_deref().map(|folder| Place::of(folder, whose.clone()));
+    let started = place.as_ref().map_or_else(handover::unix_micros, Place::rank);
     let kept = place.as_ref().map(Place::kept).unwrap_or_default();
     let met = match &place {
         Some(place) => Some(handover::meet(place, started).await),
@@ -123,7 +123,7 @@
     let post = Post::new(lobby.clone(), place.clone(), kept, own, state, heir.clone());
     let telling = post.telling();
     let (datagrams, sending) = mpsc::channel(rights::QUEUE);
-    let (mut core, handle, mut office) = Core::new(&config, subscribe, datagrams, post)?;
+    let (mut core, handle, mut office) = Core::new(&config, subscribe, datagrams, post);
     let listen = listener.local_addr()?;
     info!("ashtide: {} listens on {listen}, at most {} clients", config.name, room.sessions);
     let (stop, stopping) = watch::channel(false);
--- /dev/null
+++ b/src/net/connect.rs
@@ -0,0 +1,97 @@
+//! Connecting over TCP, with errors of this machine told from those of the network and of the other side.
+//!
+//! connect(2) and socket(2) fail for a moment where this machine lacks a port, a descriptor, a buffer or a route. That
+//! says nothing of who was to be reached: it is tried again within the time that connecting may take.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rustix::io::Errno;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Wait before the first retry after an error of this machine. It doubles with each.
+const RETRY_FIRST: Duration = Duration::from_millis(1);
+/// Longest wait between two tries.
+const RETRY_LONGEST: Duration = Duration::from_millis(16);
+
+/// Why no connection came up.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectFailure {
+    /// The other side refused, its network answered so, or there was no route to it all the time.
+    #[error(transparent)]
+    Unreached(io::Error),
+    /// Nothing came in time.
+    #[error("no connection in time")]
+    Late,
+    /// This machine had no port, descriptor or buffer all the time: nothing has been sent.
+    #[error("not tried, for want of resources of this machine: {0}")]
+    Local(io::Error),
+}
+
+impl ConnectFailure {
+    /// The error of the system.
+    pub fn into_io(self) -> io::Error {
+        match self {
+            Self::Unreached(error) | Self::Local(error) => error,
+            Self::Late => io::ErrorKind::TimedOut.into(),
+        }
+    }
+}
+
+/// What an error of connect(2) or socket(2) says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// Of the other side or of the network on the way.
+    Remote,
+    /// Of this machine's resources.
+    Resources,
+    /// Of this machine's routes and interfaces, which may be of this destination alone if it lasts.
+    Route,
+}
+
+impl Cause {
+    fn of(error: &io::Error) -> Self {
+        match Errno::from_io_error(error) {
+            Some(
+                Errno::ADDRNOTAVAIL
+                | Errno::ADDRINUSE
+                | Errno::AGAIN
+                | Errno::INTR
+                | Errno::MFILE
+                | Errno::NFILE
+                | Errno::NOBUFS
+                | Errno::NOMEM,
+            ) => Self::Resources,
+            Some(Errno::NETUNREACH | Errno::NETDOWN | Errno::ACCESS | Errno::PERM) => Self::Route,
+            _ => Self::Remote,
+        }
+    }
+}
+
+/// Connects, and goes on trying until `deadline` as long as it is this machine that fails.
+///
+/// # Errors
+///
+/// Says whose failure it was.
+pub async fn connect(address: SocketAddr, deadline: Instant) -> Result<TcpStream, ConnectFailure> {
+    let mut wait = RETRY_FIRST;
+    loop {
+        let error = match timeout_at(deadline, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => return Ok(stream),
+            Ok(Err(error)) => error,
+            Err(_) => return Err(ConnectFailure::Late),
+        };
+        let cause = Cause::of(&error);
+        let again = cause != Cause::Remote && Instant::now() + wait < deadline;
+        if !again {
+            return Err(match cause {
+                Cause::Resources => ConnectFailure::Local(error),
+                Cause::Remote | Cause::Route => ConnectFailure::Unreached(error),
+            });
+        }
+        sleep(wait).await;
+        wait = (wait * 2).min(RETRY_LONGEST);
+    }
+}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -25,6 +25,7 @@
 use crate::quic::placing::server_key;
 use crate::quota;
 use crate::rights::Datagram;
+use crate::start_times::StartTimes;
 use crate::state::{Look, Watched, key_of};
 
 /// Reports that may wait for the core before fronts have to.
@@ -61,6 +62,8 @@
     listed: BTreeMap<String, Entry>,
     index: u64,
     told: bool,
+    /// When its servers started.
+    start_times: StartTimes,
     /// Who wants to know of the servers on it.
     fleet: watch::Sender<BTreeMap<String, SocketAddr>>,
     connect_timeout: Duration,
@@ -86,16 +89,12 @@
 
 impl Core {
     /// A core for this configuration; `subscribe` asks the list's driver to watch.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the settings cannot be used.
     pub fn new(
         config: &Config,
         subscribe: mpsc::Sender<()>,
         datagrams: mpsc::Sender<Datagram>,
         post: Post,
-    ) -> Result<(Self, Handle, Office), String> {
+    ) -> (Self, Handle, Office) {
         let unix = Duration::from_micros(unix_micros());
         let anchor = (Time::default() + span(unix), Instant::now());
         let names = config.facts.names();
@@ -122,6 +121,7 @@
             listed: BTreeMap::new(),
             index: 0,
             told: false,
+            start_times: StartTimes::default(),
             fleet: watch::Sender::new(BTreeMap::new()),
             connect_timeout: duration(config.facts.connect_timeout()),
             effects: pushed.then_some(Effect::Subscribe).into_iter().collect(),
@@ -136,7 +136,7 @@
             leaving: None,
             closing: watch::Sender::new(false),
         };
-        Ok((core, handle, office))
+        (core, handle, office)
     }
 
     /// What the gateways share is fed and used from now on; `witness`, where what attempts came to is told, too.
@@ -368,8 +368,12 @@
                 }
             }
             // Behind the news that came with it: what is vouched for again may have changed.
-            Report::Watching(_) => self.engine.vouched(now, out),
+            Report::Watching(_) => {
+                self.start_times.watching(now);
+                self.engine.vouched(now, out);
+            }
             Report::WatchEnded { in_step, end, ask } => {
+                self.start_times.watch_ended(now - span(in_step));
                 self.engine.unheard(now, now - span(in_step), end);
                 if ask {
                     self.engine.list(now, ListNews::Broken, Vec::new(), out);
@@ -535,6 +539,10 @@
 
     fn news(&mut self, news: News, kind: ListNews) {
         self.index = news.index;
+        let now = self.now();
+        // What older lists say is not known to be new.
+        let unlisted_until =
+            if kind == ListNews::Stale { None } else { self.start_times.unlisted_until(now) };
         let mut entries = Vec::with_capacity(news.endpoints.len());
         if kind != ListNews::Changes {
             self.listed.clear();
@@ -559,9 +567,12 @@
                 cell: CellId(entry.group),
                 state: entry.status.into(),
                 size: entry.weight,
-                started: (entry.since_ms > 0.0).then(|| Time::from_micros((entry.since_ms * 1e3) as i64)),
+                started: self.start_times.started(now, server, entry.since_ms, unlisted_until),
             });
         }
+        if kind != ListNews::Stale {
+            self.start_times.news(now);
+        }
         self.fleet.send_if_modified(|fleet| {
             let now: BTreeMap<_, _> =
                 self.listed.iter().map(|(name, it)| (name.clone(), it.address)).collect();
@@ -569,7 +580,6 @@
             *fleet = now;
             changed
         });
-        let now = self.now();
         self.engine.list(now, kind, entries, &mut self.effects);
         if !self.listed.is_empty() {
             self.health.ready();
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -6,12 +6,12 @@
 use ashtide_stream::{TcpReader, TcpWriter, split_tcp};
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::Decoder;
 use tracing::info;
 
+use super::connect::{ConnectFailure, connect};
 use super::report::{Handle, Report};
 
 use crate::discovery::{CALL, End, News, QUIET, WatchCodec, WatchError, WatchEvent, watch_request};
@@ -103,7 +103,7 @@
         self.begin();
         let mut deadline = Instant::now() + CALL;
         let late = || io::Error::from(io::ErrorKind::TimedOut);
-        let ask = connect(address, self.after);
+        let ask = ask(address, self.after, deadline);
         // The writing half is kept: without it the sending would be shut down.
         let (mut stream, _write) = timeout_at(deadline, ask).await.map_err(|_| late())??;
         let (mut codec, mut buffer) = (WatchCodec::default(), BytesMut::with_capacity(ROOM));
@@ -153,8 +153,8 @@
 }
 
 /// Connects and asks for what came after this version.
-async fn connect(address: SocketAddr, after: u64) -> io::Result<(TcpReader, TcpWriter)> {
-    let stream = TcpStream::connect(address).await?;
+async fn ask(address: SocketAddr, after: u64, deadline: Instant) -> io::Result<(TcpReader, TcpWriter)> {
+    let stream = connect(address, deadline).await.map_err(ConnectFailure::into_io)?;
     stream.set_nodelay(true)?;
     let (read, mut write) = split_tcp(stream);
     write.write_all(watch_request(&address.to_string(), after).as_bytes()).await?;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -25,7 +25,7 @@
 
 use crate::config::Config;
 use crate::discovery::News;
-use crate::handover::{Call, Cordons, Deployment, Kept, MAX_WORD, Others, Share, State, Word, WordCodec};
+use crate::handover::{Cordons, Deployment, Kept, MAX_WORD, Others, Share, State, Word, WordCodec, rank};
 
 /// How long a younger process waits for what the older has to tell, before it serves without.
 const MEET: Duration = Duration::from_millis(500);
@@ -124,6 +124,11 @@
         self.folder.join(format!("{}.{ending}", self.name))
     }
 
+    /// The rank of this process among those of its gateway, which have their sockets here.
+    pub fn rank(&self) -> u64 {
+        rank(unix_micros(), self.ranked_sockets().into_iter().map(|(rank, _)| rank), std::process::id())
+    }
+
     fn socket(&self, started: u64) -> PathBuf {
         self.beside(&format!("{started}.sock"))
     }
@@ -243,15 +248,20 @@
 
     /// The sockets of this name, the youngest first.
     fn sockets(&self) -> Vec<PathBuf> {
-        let started = |path: &Path| {
+        self.ranked_sockets().into_iter().take(TRIED).map(|(_, path)| path).collect()
+    }
+
+    /// The sockets of this name with the ranks of their processes, the highest first.
+    fn ranked_sockets(&self) -> Vec<(u64, PathBuf)> {
+        let rank_of = |path: &Path| {
             let name = path.file_name()?.to_str()?.strip_prefix(&self.name)?.strip_prefix('.')?;
             name.strip_suffix(".sock")?.parse::<u64>().ok()
         };
         let entries = std::fs::read_dir(&self.folder).into_iter().flatten().flatten();
         let mut all: Vec<_> =
-            entries.map(|entry| entry.path()).filter_map(|path| Some((started(&path)?, path))).collect();
+            entries.map(|entry| entry.path()).filter_map(|path| Some((rank_of(&path)?, path))).collect();
         all.sort_unstable_by(|one, two| two.cmp(one));
-        all.into_iter().take(TRIED).map(|(_, path)| path).collect()
+        all
     }
 }
 
@@ -327,7 +337,7 @@
     ///
     /// Fails where it cannot be kept; it holds for this process all the same.
     pub fn call(&mut self, server: &str, out: bool) -> io::Result<()> {
-        self.kept.cordons.call(server, Call { at: unix_micros(), out });
+        self.kept.cordons.call_now(server, unix_micros(), out);
         match &self.place {
             Some(place) => place.keep(&self.kept),
             None => Ok(()),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! Drivers: what reads and writes sockets, one file a concern. They decide nothing.
 
 pub mod accept;
+pub mod connect;
 pub mod core;
 pub mod discovery;
 pub mod door;
--- a/src/net/quic.rs
+++ b/src/net/quic.rs
@@ -508,7 +508,8 @@
                     if flow.first.is_some() { flow.held.clone() } else { std::mem::take(&mut flow.held) };
                 let client = flow.client;
                 if !self.open_path(id, client).await {
-                    return self.server_gone(id, attempt, Outcome::ConnectError).await;
+                    // No socket or no path is left here, which says nothing of the server.
+                    return self.server_gone(id, attempt, Outcome::LocalFailure).await;
                 }
                 let begins = self.flows.get(&id).is_some_and(|flow| flow.first.is_some());
                 for datagram in held {
@@ -619,7 +620,11 @@
     }
 }
 
-/// Reads one path's socket until it fails or is given up.
+/// After an error of a path's socket that is not the server's, the next read waits a little.
+const AFTER_READ_ERROR: Duration = Duration::from_millis(10);
+
+/// Reads one path's socket until the server's machine refuses, or the path is given up. Other errors are of this
+/// machine or of the network on the way, and pass: they say nothing of the server.
 async fn read(
     socket: Arc<UdpSocket>,
     id: RequestId,
@@ -630,7 +635,14 @@
     let mut buffer = [0; MAX_DATAGRAM];
     loop {
         let datagram = socket.recv(&mut buffer).await.map(|length| Bytes::copy_from_slice(&buffer[..length]));
-        let failed = datagram.is_err();
+        let failed = match &datagram {
+            Ok(_) => false,
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => true,
+            Err(_) => {
+                tokio::time::sleep(AFTER_READ_ERROR).await;
+                continue;
+            }
+        };
         if front.send(FromServer { id, attempt, client, datagram }).await.is_err() || failed {
             return;
         }
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -26,6 +26,7 @@
     ServerSide, busy,
 };
 
+use super::connect::{ConnectFailure, connect};
 use super::lobby::{Heard, Lobby, Permit, Place};
 use super::log::Limited;
 use super::passing::Heir;
@@ -61,6 +62,7 @@
 
 static BAD: Limited = Limited::new("client");
 static CROWD: Limited = Limited::new("clients");
+static LOCAL: Limited = Limited::new("connect");
 
 /// Limits on time that the settings give.
 #[derive(Debug, Clone, Copy)]
@@ -554,7 +556,9 @@
                     Err(tried) => Err(tried),
                 };
                 match reached {
-                    Err(Tried::Over(Outcome::ConnectError)) => sleep(EXISTING_AGAIN).await,
+                    Err(Tried::Over(Outcome::ConnectError | Outcome::LocalFailure)) => {
+                        sleep(EXISTING_AGAIN).await;
+                    }
                     reached => return reached,
                 }
             }
@@ -760,10 +764,17 @@
 
 /// A connection to a server, if it comes up in time. One that comes up later has been closed before.
 async fn connected(address: SocketAddr, within: Duration) -> Result<Peer, Tried> {
-    match timeout(within, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => Ok(Peer::new(stream)),
-        _ => Err(Tried::Over(Outcome::ConnectError)),
-    }
+    let failure = match connect(address, Instant::now() + within).await {
+        Ok(stream) => return Ok(Peer::new(stream)),
+        Err(failure) => failure,
+    };
+    Err(Tried::Over(match failure {
+        ConnectFailure::Local(error) => {
+            LOCAL.say(format_args!("{address}: {error}"));
+            Outcome::LocalFailure
+        }
+        ConnectFailure::Unreached(_) | ConnectFailure::Late => Outcome::ConnectError,
+    }))
 }
 
 /// Writes the first line to a server, and reads its answer.
--- /dev/null
+++ b/src/start_times.rs
@@ -0,0 +1,80 @@
+//! When servers started, by this process's monotonic clock.
+//!
+//! The list gives starts in wall time, which may be stepped by an hour between two processes of a gateway. A start is
+//! turned into monotonic time once, when it is first seen, and what the list itself shows goes before the wall clock:
+//! a server cannot have started in the future, and one that was not on the list when that was last known to be in step
+//! has been listed since then. Where nothing tells, the wall clock is believed. An age is rather too small than too
+//! large: what starts later is sent less. It has no socket and no clock.
+
+use std::collections::BTreeMap;
+
+use crate::discovery::QUIET;
+use crate::interface::{ServerId, Span, Time};
+
+/// A start as the list tells it, and as this process takes it.
+#[derive(Debug, Clone, Copy)]
+struct Start {
+    since_ms: f64,
+    started: Time,
+}
+
+/// The starts of all servers, and when the list was last known to be in step.
+#[derive(Debug, Default)]
+pub struct StartTimes {
+    starts: BTreeMap<ServerId, Start>,
+    /// When discovery last told something whole, as far as this process has heard.
+    in_step: Option<Time>,
+    /// Whether a watch is in step: then it has told something whole within the last [`QUIET`].
+    watching: bool,
+}
+
+impl StartTimes {
+    /// A watch has told something whole now, and is in step.
+    pub fn watching(&mut self, now: Time) {
+        (self.in_step, self.watching) = (Some(now), true);
+    }
+
+    /// News have come; they put the list in step only on a watch that is.
+    pub fn news(&mut self, now: Time) {
+        if self.watching {
+            self.in_step = Some(now);
+        }
+    }
+
+    /// The watch has ended; the list was last in step then.
+    pub fn watch_ended(&mut self, in_step: Time) {
+        if self.watching {
+            self.in_step = self.in_step.max(Some(in_step));
+        }
+        self.watching = false;
+    }
+
+    /// Since when a server that is new on a list of this moment may be there at the earliest: none for the first list.
+    pub fn unlisted_until(&self, now: Time) -> Option<Time> {
+        let quiet = Span::from_micros(i64::try_from(QUIET.as_micros()).unwrap_or(i64::MAX));
+        let beat = self.watching.then_some(now - quiet);
+        self.in_step.map(|at| beat.map_or(at, |beat| at.max(beat)))
+    }
+
+    /// When a server started that the list says to have started at `since_ms` of Unix time, by the same clock as `now`;
+    /// none where that was long ago. `unlisted_until` where the list comes from discovery and is not the first.
+    pub fn started(
+        &mut self,
+        now: Time,
+        server: ServerId,
+        since_ms: f64,
+        unlisted_until: Option<Time>,
+    ) -> Option<Time> {
+        if since_ms.is_nan() || since_ms <= 0.0 {
+            self.starts.remove(&server);
+            return None;
+        }
+        if let Some(start) = self.starts.get(&server).filter(|start| start.since_ms == since_ms) {
+            return Some(start.started);
+        }
+        let told = Time::from_micros((since_ms * 1e3) as i64);
+        let started = unlisted_until.map_or(told, |earliest| told.max(earliest)).min(now);
+        self.starts.insert(server, Start { since_ms, started });
+        Some(started)
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -263,7 +263,11 @@
             Outcome::Failed | Outcome::ConnectError | Outcome::Reset => Kind::Failing,
             Outcome::TimedOut => Kind::Silent,
             Outcome::QueueFull if !established => Kind::Overrun,
-            Outcome::QueueFull | Outcome::Ok | Outcome::Cancelled | Outcome::Ignored => return,
+            Outcome::QueueFull
+            | Outcome::Ok
+            | Outcome::Cancelled
+            | Outcome::Ignored
+            | Outcome::LocalFailure => return,
         };
         self.saw(server, Some(kind));
     }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -11,6 +11,7 @@
 
 use ashtide::handover::{
     Call, Cordons, Deployment, Kept, MAX_STANDING, MAX_WORD, Others, Share, Standing, State, Word, WordCodec,
+    rank,
 };
 use ashtide::net::handover::Place;
 use ashtide::net::passing::Inbox;
@@ -95,6 +96,28 @@
     assert_eq!((both.sockets, both.shares["s-0"]), (80, share));
 }
 
+#[test]
+fn a_later_process_ranks_higher_and_a_later_call_counts_whatever_the_clock_says() {
+    // The wall clock was put back by an hour between the starts.
+    let (hour, first) = (3_600_000_000, 1_800_000_000_000_000);
+    let second = rank(first - hour, [first].into_iter(), 4321);
+    let third = rank(first - hour, [first, second].into_iter(), 4322);
+    assert!(first < second && second < third, "{first}, {second}, {third}");
+    // Two that start beside each other, and see the same.
+    assert_ne!(second, rank(first - hour, [first].into_iter(), 4322));
+    assert_eq!(rank(first, std::iter::empty(), 4321), first, "alone, or with older ones: the time");
+    assert_eq!(rank(first, [u64::MAX].into_iter(), 4321), u64::MAX, "a name that no process has");
+
+    let mut cordons = Cordons::default();
+    cordons.call_now("s-0", first, true);
+    cordons.call_now("s-0", first - hour, false);
+    assert!(!cordons.out("s-0"), "the later call");
+    let mut older = Cordons::default();
+    older.call_now("s-0", first, true);
+    older.merge(&cordons);
+    assert!(!older.out("s-0"), "also where it is heard of");
+}
+
 #[test]
 fn a_word_of_a_version_without_turns_is_read() {
     let old: Share = serde_json::from_str(r#"{"open":3,"budget":0.5}"#).expect("read");
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -5,7 +5,8 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ashtide_rehearsal::clients::LineClient;
 use ashtide_rehearsal::daemon::{Daemon, Options};
@@ -208,3 +209,40 @@
         assert!(preload.counts().expect("counted").clock > 0);
     }
 }
+
+/// How many of the clients that come in the first second of a new server go there.
+async fn sent_to_a_new_server(clock_step_ms: i64) -> u64 {
+    let mut fleet = Fleet::start(2).await.expect("a fleet");
+    let faults = SystemFaults { clock_step_ms, ..SystemFaults::default() };
+    let (daemon, _preload) = start(&fleet, faults, Options::default()).await;
+    daemon.says("discovery: ").await.expect("a watch");
+    let (_standing, others) = come_up(daemon.lines, CLIENTS).await;
+    assert!(others.is_empty(), "{others:?}");
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+    let new = fleet.add("here", unix.as_millis() as u64).await.expect("a server");
+    // Discovery tells it within a moment.
+    sleep(Duration::from_millis(50)).await;
+    let (_up, _others) = come_up(daemon.lines, CLIENTS).await;
+    fleet.servers[new].seen.taken.load(Ordering::Relaxed)
+}
+
+#[tokio::test]
+async fn a_cold_server_is_spared_whatever_the_wall_clock_says() {
+    let [true_clock, ahead, behind] = [
+        sent_to_a_new_server(0).await,
+        sent_to_a_new_server(HOUR_MS).await,
+        sent_to_a_new_server(-HOUR_MS).await,
+    ];
+    println!(
+        "{true_clock} sent with a true clock, {ahead} by one that is ahead, {behind} by one that is behind"
+    );
+    // Two seconds of warming make no difference of more than two connections with these settings.
+    assert!(
+        ahead <= true_clock + 2,
+        "{ahead} of {CLIENTS} by a clock that is ahead, {true_clock} by a true one"
+    );
+    assert!(
+        behind <= true_clock + 2,
+        "{behind} of {CLIENTS} by a clock that is behind, {true_clock} by a true one"
+    );
+}
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -629,7 +629,7 @@
     let (_heirs, heir) = watch::channel(None);
     let lobby = Lobby::new(config.room(0));
     let post = Post::new(lobby, None, Kept::default(), 0, State::default(), heir);
-    let (core, handle, _office) = Core::new(&config, subscribe, datagrams, post).expect("a core");
+    let (core, handle, _office) = Core::new(&config, subscribe, datagrams, post);
     let mut fleet = core.fleet();
     let news = |name| serde_json::from_value(list(1, false, &[name])).expect("a list");
     let tells = async {
