A start is doubted only where the list contradicts it by more than discovery may be late

Change: `start_times` keeps what the wall clock says within the 6 s that discovery has to tell a change, and goes by the list beyond. An hour's step is found as before.

--- a/src/start_times.rs
+++ b/src/start_times.rs
@@ -2,13 +2,13 @@
 //!
 //! The list gives starts in wall time, which may be stepped by an hour between two processes of a gateway. A start is
 //! turned into monotonic time once, when it is first seen, and what the list itself shows goes before the wall clock:
-//! a server cannot have started in the future, and one that was not on the list when that was last known to be in step
-//! has been listed since then. Where nothing tells, the wall clock is believed. An age is rather too small than too
-//! large: what starts later is sent less. It has no socket and no clock.
+//! a server cannot have started in the future, nor long before the list was last in step without it. Where nothing
+//! tells, the wall clock is believed. An age is rather too small than too large: what is younger is sent less. It has
+//! no socket and no clock.
 
 use std::collections::BTreeMap;
 
-use crate::discovery::QUIET;
+use crate::discovery::{QUIET, TOLD};
 use crate::interface::{ServerId, Span, Time};
 
 /// A start as the list tells it, and as this process takes it.
@@ -73,7 +73,11 @@
             return Some(start.started);
         }
         let told = Time::from_micros((since_ms * 1e3) as i64);
-        let started = unlisted_until.map_or(told, |earliest| told.max(earliest)).min(now);
+        let started = match unlisted_until {
+            // Discovery tells a start within this time: the wall clock is wrong, and what it says is no guide.
+            Some(earliest) if told + TOLD < earliest => earliest,
+            _ => told.min(now),
+        };
         self.starts.insert(server, Start { since_ms, started });
         Some(started)
     }
--- a/tests/start_times.rs
+++ b/tests/start_times.rs
@@ -35,6 +35,8 @@
 fn a_true_clock_is_believed_to_the_microsecond() {
     let mut times = in_step();
     assert_eq!(appears(&mut times, at(22), unix_ms(21)), Some(at(21)));
+    // Discovery may be some seconds late, and has 6 s.
+    assert_eq!(times.started(at(22), OTHER, unix_ms(15), times.unlisted_until(at(22))), Some(at(15)));
     // The first list of all says nothing of what was there before.
     assert_eq!(appears(&mut StartTimes::default(), at(0), unix_ms(-5)), Some(at(-5)));
     assert_eq!(appears(&mut times, at(22), 0.0), None, "long ago");
