What is done to a request is checked as it happens, by a record of its own

Change: `request_invariants` notes what the engine does (first bytes allowed, ends, answers, what the list tells) and names two attempts, an attempt after the end, a repeat, a drained server, a false refusal and a late answer, with ids. The driver logs them, counts them in `router_invariant_violations_total`, and a debug build ends.

Measured: each is found by name in tests/request_invariants.rs, and what is allowed is not.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -19,6 +19,7 @@
 use crate::interface::*;
 use crate::probing::Probing;
 use crate::ramp::Ramp;
+use crate::request_invariants::{RequestInvariants, Violation as RequestViolation};
 use crate::rights::{Datagram, Key as ServerKey, PATIENCE, Rights, Step, Unheard, Violation};
 use crate::state::{Sight, Witness};
 
@@ -184,6 +185,8 @@
     rights: Option<Rights>,
     keys: BTreeMap<ServerKey, ServerId>,
     probing: Probing,
+    /// What must hold for each request, checked as things happen.
+    invariants: RequestInvariants,
     /// What attempts came to, where other gateways are told; and servers that are out by what they all saw.
     witness: Option<Witness>,
     judged: BTreeSet<ServerId>,
@@ -212,6 +215,7 @@
         let rights = settings.peers.then(|| Rights::new(settings.own, settings.relays, ramp, anchor.0));
         let phase = f64::from((seed >> 32) as u32) / f64::from(u32::MAX);
         let probing = Probing::new(settings.probes, settings.relays, phase);
+        let invariants = RequestInvariants::new(&settings);
         let mut engine = Self {
             module: Balancer::new(settings, seed),
             records: BTreeMap::new(),
@@ -226,6 +230,7 @@
             rights,
             keys: BTreeMap::new(),
             probing,
+            invariants,
             witness: None,
             judged: BTreeSet::new(),
             anchor,
@@ -412,8 +417,10 @@
             self.pulses.iter().map(|(&server, pulse)| (server, pulse.state)).collect();
         if matches!(news, ListNews::Whole | ListNews::Stale) {
             self.pulses.values_mut().for_each(|pulse| pulse.state = ServerState::Gone);
+            self.invariants.listed_anew(now);
         }
         for entry in &entries {
+            self.invariants.listed(now, entry);
             if before.get(&entry.server) != Some(&entry.state) && entry.state == ServerState::Gone {
                 self.probing.forget(entry.server);
             }
@@ -449,6 +456,7 @@
             return out.push(Effect::Answer { id: request.id, answer });
         }
         self.records.insert(request.id, Record { tenant: request.tenant, ..Record::default() });
+        self.invariants.requested(now, request.id, request.class, request.time_left);
         self.run(now, Event::Request(request), out);
     }
 
@@ -472,6 +480,7 @@
         let vouched = !self.unvouched && self.vouching.holds(now);
         let allowed = vouched && self.module.may_begin(now, id);
         if allowed && self.ready(server) {
+            self.invariants.begun(now, id, attempt, server);
             return true;
         }
         out.push(Effect::Close { id, attempt });
@@ -489,6 +498,8 @@
             return true;
         }
         open.established = true;
+        self.invariants.over(id);
+        let Some(open) = self.out(id, attempt) else { return false };
         let (sent, timeout, server) = (open.sent, open.timeout.take(), open.server);
         self.cancel(timeout);
         self.pulses.entry(server).or_default().heard = Some(now);
@@ -533,6 +544,7 @@
     /// The client has gone.
     pub fn client_left(&mut self, now: Time, id: RequestId, out: &mut Vec<Effect>) {
         let Some(record) = self.records.get(&id) else { return };
+        self.invariants.over(id);
         match &record.out {
             Some(Out { established: true, attempt, .. }) => {
                 let attempt = *attempt;
@@ -610,6 +622,11 @@
         Ok(())
     }
 
+    /// What broke an invariant of a request since the last call, and how much did since the start.
+    pub fn request_violations(&mut self) -> (Vec<RequestViolation>, u64) {
+        (self.invariants.take(), self.invariants.count())
+    }
+
     /// Whether the state that is shared with other gateways is as it must be.
     ///
     /// # Errors
@@ -704,7 +721,7 @@
                     // A refusal says that trying again does no harm.
                     let harmless = self.module.harmless(id);
                     let answer = if harmless { Answer::Refused(GONE_OVER) } else { Answer::Failed };
-                    self.answer(id, answer, out);
+                    self.answer(now, id, answer, out);
                 }
             }
         }
@@ -834,8 +851,8 @@
                 self.records.entry(id).or_default().out = Some(open);
                 out.push(Effect::Attempt { id, attempt, server, timeout });
             }
-            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after), out),
-            Action::Fail { id } => self.answer(id, Answer::Failed, out),
+            Action::Refuse { id, retry_after } => self.answer(now, id, Answer::Refused(retry_after), out),
+            Action::Fail { id } => self.answer(now, id, Answer::Failed, out),
             Action::Recall { id, attempt } => {
                 if self.out(id, attempt).is_some_and(|open| !open.established) {
                     out.push(Effect::Close { id, attempt });
@@ -869,13 +886,14 @@
 
     /// Gives the final answer, once: a request that is over or served is on no record without a
     /// standing connection, and gets none.
-    fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
+    fn answer(&mut self, now: Time, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
         let Some(record) = self.records.get(&id) else { return };
         let attempt = record.out.as_ref().map(|open| (open.attempt, open.established));
         if attempt.is_some_and(|(_, established)| established) {
             return;
         }
         self.finish(id, attempt.map(|(attempt, _)| attempt), out);
+        self.invariants.answered(now, id, matches!(answer, Answer::Refused(_)));
         out.push(Effect::Answer { id, answer });
     }
 
@@ -896,6 +914,7 @@
     fn end(&mut self, id: RequestId, attempt: u32, outcome: Outcome) {
         let Some(record) = self.records.get_mut(&id) else { return };
         let Some(open) = record.out.take_if(|open| open.attempt == attempt) else { return };
+        self.invariants.ended(id, attempt, outcome);
         if let Some(witness) = &mut self.witness {
             witness.ended(open.server, open.established, outcome);
         }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -70,6 +70,9 @@
     /// Probes asked for since the start and not sent, for their price.
     #[strum(serialize = "probes_withheld_total")]
     Withheld,
+    /// Broken invariants of requests since the start: a fault of the program.
+    #[strum(serialize = "invariant_violations_total")]
+    Violations,
 }
 
 /// The figures of one process.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod quic;
 pub mod quota;
 pub mod ramp;
+pub mod request_invariants;
 pub mod rights;
 pub mod start_times;
 pub mod state;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -44,6 +44,7 @@
 static TROUBLE: Limited = Limited::new("server");
 static UNHEARD: Limited = Limited::new("rights");
 static BROKEN: Limited = Limited::new("rights");
+static INVARIANT: Limited = Limited::new("request");
 static SHARED: Limited = Limited::new("state");
 
 /// The core's driver.
@@ -172,6 +173,7 @@
         self.news(known, ListNews::Stale);
         loop {
             self.carry_out();
+            self.report_violations();
             let end = match self.leaving {
                 Some((earliest, _)) if self.ports.is_empty() && self.post.lobby.sockets() == 0 => {
                     Some(earliest)
@@ -234,6 +236,18 @@
         }
     }
 
+    /// Logs and counts what broke an invariant of a request. A debug build ends.
+    fn report_violations(&mut self) {
+        let (found, count) = self.engine.request_violations();
+        for violation in &found {
+            INVARIANT.say(format_args!("invariant broken: {violation}; {}", violation.help()));
+        }
+        if !found.is_empty() {
+            self.handle.figures().set(Gauge::Violations, usize::try_from(count).unwrap_or(usize::MAX));
+        }
+        debug_assert!(found.is_empty(), "an invariant is broken: {found:?}");
+    }
+
     /// Feeds what the gateways share, and carries out what follows of it.
     fn look(&mut self, now: Time) {
         let Some(board) = self.state.clone() else { return };
--- a/tests/crossings/world.rs
+++ b/tests/crossings/world.rs
@@ -645,6 +645,11 @@
                 Effect::Probe { .. } | Effect::Subscribe => {}
             }
         }
+        // What the engine finds itself is found in plays without a fault of the test's as well.
+        let (found, _) = self.processes[process].engine.request_violations();
+        if let Some(violation) = found.first().filter(|_| self.fault.is_none()) {
+            panic!("the engine's own invariant: {violation}");
+        }
         if let Err(violation) = self.processes[process].engine.check() {
             let invariant = super::invariants::Invariant::RightsWithinRule;
             self.broken.get_or_insert(Violation { invariant, what: violation.to_string() });
