What a failing disk did not take is written as soon as it does, and is synced before it is promised

Cause: a failed write of the file that outlives a gateway's process was logged and forgotten (`Post::keep`); a process that had just heard of a cordon could overwrite the other's file without it; the view's generation was written in place, quotas unsynced, and both took an unreadable file for none.

Change: `net::files` writes aside, syncs, puts in place, syncs the folder, and tells missing from unreadable.

Views and quotas were not played under it.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -19,7 +19,9 @@
 use tokio_util::codec::FramedRead;
 use tracing::info;
 
+use super::files::Aside;
 use super::lobby::Lobby;
+use super::log::Limited;
 use super::passing::{Heir, Inbox};
 use super::report::{Handle, Report};
 
@@ -42,6 +44,8 @@
 /// After an accept that failed, the next one waits a little.
 const AFTER_FAILURE: Duration = Duration::from_millis(100);
 
+static UNKEPT: Limited = Limited::new("handover");
+
 /// What a process tells the others, as it changes.
 #[derive(Debug, Clone, Default)]
 pub struct Telling {
@@ -227,22 +231,20 @@
     /// Fails where the folder cannot be written, or all files of this name are other deployments'.
     pub fn keep(&self, kept: &Kept) -> io::Result<()> {
         let kept = Kept { whose: Some(self.whose().clone()), ..kept.clone() };
-        let next = self.folder.join(format!("{}.{}.next", self.name, std::process::id()));
-        std::fs::write(&next, serde_json::to_vec(&kept)?)?;
+        let aside = Aside::write(&self.beside("kept"), &serde_json::to_vec(&kept)?)?;
         for _ in 0..FILES {
             let Some((path, found)) = self.find(|_, _| ()) else { break };
             if matches!(found, Found::Nothing) {
                 // Another deployment may take the name at this moment: only one of the two gets it.
-                match std::fs::hard_link(&next, &path) {
-                    Ok(()) => return std::fs::remove_file(&next),
+                match aside.put_new(&path) {
+                    Ok(()) => return Ok(()),
                     Err(error) if error.kind() == io::ErrorKind::AlreadyExists => continue,
                     // Not all file systems have such links.
                     Err(_) => {}
                 }
             }
-            return std::fs::rename(&next, &path);
+            return aside.replace(&path);
         }
-        let _ = std::fs::remove_file(&next);
         Err(io::Error::other(format!("all {FILES} files of this name are other deployments'")))
     }
 
@@ -288,6 +290,8 @@
     place: Option<Place>,
     kept: Kept,
     own: usize,
+    /// Whether what is kept has changed since it was last on disk.
+    unkept: bool,
     telling: watch::Sender<Telling>,
     heir: watch::Receiver<Option<Arc<Heir>>>,
 }
@@ -303,7 +307,7 @@
         heir: watch::Receiver<Option<Arc<Heir>>>,
     ) -> Self {
         let telling = watch::Sender::new(Telling { state, list: None });
-        Self { lobby, place, kept, own, telling, heir }
+        Self { lobby, place, kept, own, unkept: false, telling, heir }
     }
 
     /// The successor, once it takes standing connections over.
@@ -321,6 +325,9 @@
         let begun = self.lobby.begun();
         if begun != self.kept.begun {
             self.kept.begun = begun;
+            self.unkept = true;
+        }
+        if self.unkept {
             self.keep();
         }
         let sockets = self.own + self.lobby.sockets();
@@ -338,15 +345,17 @@
     /// Fails where it cannot be kept; it holds for this process all the same.
     pub fn call(&mut self, server: &str, out: bool) -> io::Result<()> {
         self.kept.cordons.call_now(server, unix_micros(), out);
-        match &self.place {
-            Some(place) => place.keep(&self.kept),
-            None => Ok(()),
-        }
+        let kept = self.place.as_ref().map_or(Ok(()), |place| place.keep(&self.kept));
+        self.unkept = kept.is_err();
+        kept
     }
 
     /// Takes the calls that other processes had; the servers for which that changes anything.
     pub fn merge(&mut self, cordons: &Cordons) -> Vec<(String, bool)> {
-        self.kept.cordons.merge(cordons)
+        let changed = self.kept.cordons.merge(cordons);
+        // The other's file may be overwritten by one that this process writes.
+        self.unkept |= !changed.is_empty();
+        changed
     }
 
     /// The servers that operators have taken out.
@@ -362,11 +371,13 @@
         });
     }
 
-    fn keep(&self) {
-        let Some(place) = &self.place else { return };
-        if let Err(error) = place.keep(&self.kept) {
-            info!("handover: {}: {error}", place.beside("kept").display());
+    /// Keeps what has changed, or says why not; it is tried again as the process next tells how it stands.
+    fn keep(&mut self) {
+        let kept = self.place.as_ref().map(|place| (place, place.keep(&self.kept)));
+        if let Some((place, Err(error))) = &kept {
+            UNKEPT.say(format_args!("{}: {error}; tried again", place.beside("kept").display()));
         }
+        self.unkept = matches!(kept, Some((_, Err(_))));
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod core;
 pub mod discovery;
 pub mod door;
+pub mod files;
 pub mod handover;
 pub mod listen;
 pub mod lobby;
--- a/src/net/quota.rs
+++ b/src/net/quota.rs
@@ -8,6 +8,7 @@
 
 use ashtide_fleet::state::{Exchange, Kept};
 
+use super::files;
 use super::handover::Place;
 use super::log::Limited;
 use super::state::Board;
@@ -79,7 +80,13 @@
 
     /// What an earlier life of this gateway has promised.
     fn earlier(&self) -> Option<Kept> {
-        let text = std::fs::read_to_string(self.file.as_ref()?).ok()?;
+        let text = match files::read_if_there(self.file.as_ref()?) {
+            Ok(text) => text?,
+            Err(problem) => {
+                TROUBLE.say(format_args!("what an earlier life has promised cannot be read: {problem}"));
+                return None;
+            }
+        };
         let kept = serde_json::from_str(&text);
         if let Err(problem) = &kept {
             TROUBLE.say(format_args!("what an earlier life has promised cannot be read: {problem}"));
@@ -111,9 +118,7 @@
     fn keep(&self, kept: &Kept) -> std::io::Result<()> {
         let Some(file) = &self.file else { return Ok(()) };
         let text = serde_json::to_string(kept)?;
-        let beside = file.with_extension("quota.new");
-        std::fs::write(&beside, text)?;
-        std::fs::rename(beside, file)
+        files::replace(file, text.as_bytes())
     }
 
     /// The file was read again.
--- a/src/net/view.rs
+++ b/src/net/view.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep_until;
 use tracing::info;
 
+use super::files;
 use super::handover::{Place, unix_micros};
 use super::socket;
 use super::state;
@@ -63,15 +64,24 @@
     }
 
     pub(super) fn begin(&self) -> u64 {
-        let earlier = self.0.as_deref().and_then(|path| std::fs::read_to_string(path).ok());
-        let next = generation(unix_micros() / 1000, earlier.and_then(|text| text.trim().parse().ok()));
+        let next = generation(unix_micros() / 1000, self.earlier());
         self.keep(next);
         next
     }
 
+    /// The generation of the life before; none where there was none, or it cannot be known.
+    fn earlier(&self) -> Option<u64> {
+        let path = self.0.as_deref()?;
+        let unreadable = |why: &dyn std::fmt::Display| {
+            info!("view: {}: {why}; the clock alone tells this life from the last", path.display());
+        };
+        let text = files::read_if_there(path).map_err(|error| unreadable(&error)).ok()??;
+        text.trim().parse().map_err(|error| unreadable(&error)).ok()
+    }
+
     fn keep(&self, generation: u64) {
         if let Some(path) = &self.0
-            && let Err(error) = std::fs::write(path, format!("{generation}\n"))
+            && let Err(error) = files::replace(path, format!("{generation}\n").as_bytes())
         {
             info!("view: {}: {error}; the clock alone tells this life from the next", path.display());
         }
--- a/tests/errors.rs
+++ b/tests/errors.rs
@@ -1,7 +1,9 @@
 //! The page of errors names every variant of the types it stands for.
 
 /// Sources whose errors the page lists.
-const SOURCES: [&str; 17] = [
+const SOURCES: [&str; 19] = [
+    include_str!("../src/net/connect.rs"),
+    include_str!("../src/request_invariants.rs"),
     include_str!("../src/rights.rs"),
     include_str!("../src/discovery.rs"),
     include_str!("../src/view.rs"),
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -246,3 +246,45 @@
         "{behind} of {CLIENTS} by a clock that is behind, {true_clock} by a true one"
     );
 }
+
+#[tokio::test]
+async fn a_cordon_outlives_a_kill_though_the_disk_failed_for_a_while() {
+    let site = Site::new(3).await;
+    let (shared, at) = site.shared();
+    let options = Options { shared: Some(shared), ..site.options(&json!({})) };
+    // A write has four operations: one write in two or so fails.
+    let faults = SystemFaults { disk: 5, ..SystemFaults::default() };
+    let preload = faults.preload().expect("a library");
+    let mut failing = options.clone();
+    failing.environment.extend(preload.environment.iter().cloned());
+    let mut first = site.start(&failing).await;
+    // The run has begun, which is kept, too.
+    let _client = site.standing(at).await;
+    assert!(
+        first.call("cordon s-1").await.expect("an answer").starts_with("200"),
+        "the first write succeeds"
+    );
+    // Until one call is not kept, which is the last of all.
+    let mut last = None;
+    for call in ["cordon s-0", "cordon s-2", "uncordon s-2", "uncordon s-0"].into_iter().cycle().take(20) {
+        if first.call(call).await.expect("an answer").contains("not kept") {
+            last = Some(call);
+            break;
+        }
+    }
+    let last = last.unwrap_or_else(|| panic!("no call met the failing disk: {:?}", preload.counts()));
+    // What was taken on is kept as soon as the disk allows.
+    sleep(Duration::from_millis(1_500)).await;
+    first.kill().await.expect("it ran");
+    let second = site.start(&options).await;
+    second.says("operator: s-1 is out").await.expect("kept");
+    // All that was kept has been read by then.
+    second.says("discovery: ").await.expect("a watch");
+    let (call, server) = last.split_once(' ').expect("a call and its server");
+    let out = second.said().iter().any(|line| *line == format!("operator: {server} is out"));
+    assert_eq!(out, call == "cordon", "after {last}: {:?}", second.said());
+    assert!(second.said().iter().all(|line| !line.contains("begun anew")), "{:?}", second.said());
+    let left = std::fs::read_dir(&site.folder).expect("the folder").flatten().map(|it| it.path());
+    let aside: Vec<_> = left.filter(|path| path.extension().is_some_and(|it| it == "next")).collect();
+    assert!(aside.is_empty(), "{aside:?} left behind");
+}
