--- a/src/engine.rs
+++ b/src/engine.rs
@@ -498,9 +498,8 @@
             return true;
         }
         open.established = true;
-        self.invariants.over(id);
-        let Some(open) = self.out(id, attempt) else { return false };
         let (sent, timeout, server) = (open.sent, open.timeout.take(), open.server);
+        self.invariants.over(id);
         self.cancel(timeout);
         self.pulses.entry(server).or_default().heard = Some(now);
         if let Some(witness) = &mut self.witness {
