Tests: the list of all metrics has the count of broken invariants, as the last

Cause: router_invariant_violations_total came with the checks of requests; the test of all names and their order, seen to fail without it, names it now. Nothing else is changed.

--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -81,7 +81,8 @@
     let closed = ["displaced", "hurried", "stopped", "unasked", "left", "unread", "forgotten"]
         .map(|cause| format!("router_closed_{cause}_total 0\n"));
     let servers = ["known_reading_servers", "skipped_reading_servers"];
-    let gauges = ["in_progress"].into_iter().chain(servers).chain(["probes_total", "probes_withheld_total"]);
+    let totals = ["probes_total", "probes_withheld_total", "invariant_violations_total"];
+    let gauges = ["in_progress"].into_iter().chain(servers).chain(totals);
     let gauges = gauges.map(|name| format!("router_{name} 0\n"));
     assert_eq!(zeros, classes.chain(closed).chain(gauges).chain(["EOF\n".to_owned()]).collect::<String>());
     figures.count(Count::Tries, "a");
