A queue that a successor has taken by now is left to it, also in the middle of the last look

Cause: since the last look at the accept queue goes on behind errors and may wait, it asked once whether the queue is still this process's, where it had asked at each client (`take_in_the_rest`). Found on rereading; no test forces that moment.

Change: it asks at each client again. Also `Post::call` and `Post::keep` wrote the same twice; one does it now, and the log line is as it was.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -24,7 +24,6 @@
 use super::log::Limited;
 use super::passing::{Heir, Inbox};
 use super::report::{Handle, Report};
-
 use crate::config::Config;
 use crate::discovery::News;
 use crate::handover::{Cordons, Deployment, Kept, MAX_WORD, Others, Share, State, Word, WordCodec, rank};
@@ -327,8 +326,11 @@
             self.kept.begun = begun;
             self.unkept = true;
         }
-        if self.unkept {
-            self.keep();
+        if self.unkept
+            && let Err(error) = self.keep()
+        {
+            let file = self.place.as_ref().map(|place| place.beside("kept")).unwrap_or_default();
+            UNKEPT.say(format_args!("{}: {error}; tried again", file.display()));
         }
         let sockets = self.own + self.lobby.sockets();
         self.telling.send_modify(|telling| {
@@ -345,9 +347,7 @@
     /// Fails where it cannot be kept; it holds for this process all the same.
     pub fn call(&mut self, server: &str, out: bool) -> io::Result<()> {
         self.kept.cordons.call_now(server, unix_micros(), out);
-        let kept = self.place.as_ref().map_or(Ok(()), |place| place.keep(&self.kept));
-        self.unkept = kept.is_err();
-        kept
+        self.keep()
     }
 
     /// Takes the calls that other processes had; the servers for which that changes anything.
@@ -371,13 +371,11 @@
         });
     }
 
-    /// Keeps what has changed, or says why not; it is tried again as the process next tells how it stands.
-    fn keep(&mut self) {
-        let kept = self.place.as_ref().map(|place| (place, place.keep(&self.kept)));
-        if let Some((place, Err(error))) = &kept {
-            UNKEPT.say(format_args!("{}: {error}; tried again", place.beside("kept").display()));
-        }
-        self.unkept = matches!(kept, Some((_, Err(_))));
+    /// Keeps what has changed. Where that fails it is tried again as the process next tells how it stands.
+    fn keep(&mut self) -> io::Result<()> {
+        let kept = self.place.as_ref().map_or(Ok(()), |place| place.keep(&self.kept));
+        self.unkept = kept.is_err();
+        kept
     }
 }
 
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -66,18 +66,20 @@
             }
         }
     }
-    // A queue that is the successor's is left to it.
-    if *accepting.borrow()
-        && let Ok(listener) = listener.into_std()
-    {
-        take_in_the_rest(&listener, take_in).await;
+    if let Ok(listener) = listener.into_std() {
+        take_in_the_rest(&listener, &accepting, take_in).await;
     }
 }
 
-/// Takes in all that wait in the queue of a listener that is about to close.
-async fn take_in_the_rest(listener: &std::net::TcpListener, take_in: impl Fn(TcpStream) -> bool) {
+/// Takes in all that wait in the queue of a listener that is about to close. One that is the successor's by now is left
+/// to it.
+async fn take_in_the_rest(
+    listener: &std::net::TcpListener,
+    accepting: &watch::Receiver<bool>,
+    take_in: impl Fn(TcpStream) -> bool,
+) {
     let (mut retries, mut waits) = (AcceptRetries::default(), 0);
-    loop {
+    while *accepting.borrow() {
         // Of the socket itself, as the runtime may not have heard yet of those that wait.
         match listener.accept() {
             Ok((client, _)) => {
