--- /dev/null
+++ b/review/rig/quic_server.py
@@ -0,0 +1,49 @@
+"""A reading server of QUIC in a process of its own: takes Initials, and answers after a delay.
+
+Usage: quic_server.py NAME PORT DELAY_S. It prints what it has taken and answered, one event a line.
+"""
+
+import os
+import socket
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+import quic  # noqa: E402
+
+
+def main():
+    name, port, delay = sys.argv[1], int(sys.argv[2]), float(sys.argv[3])
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind(("127.0.0.1", port))
+    print("listens", flush=True)
+    taken, due = {}, []
+    while True:
+        sock.settimeout(max(0.001, due[0][0] - time.monotonic()) if due else None)
+        try:
+            datagram, sender = sock.recvfrom(2048)
+        except TimeoutError:
+            _, first, client_id, sender = due.pop(0)
+            answer = quic.seal(first, b"server", client_id, taken[first], 0, quic.crypto(b"UP " + name.encode()))
+            sock.sendto(answer, sender)
+            print(f"answers {first.hex()}", flush=True)
+            continue
+        packet = quic.Packet(datagram)
+        if not packet.ok or packet.kind != 0:
+            continue
+        if packet.open(packet.destination, b"client") is None:
+            continue
+        if packet.destination in taken:
+            print(f"again {packet.destination.hex()}", flush=True)
+            continue
+        taken[packet.destination] = quic.routable_id(name)
+        print(f"takes {packet.destination.hex()}", flush=True)
+        due.append((time.monotonic() + delay, packet.destination, packet.source, sender))
+
+
+if __name__ == "__main__":
+    try:
+        main()
+    except KeyboardInterrupt:
+        os._exit(0)
