--- a/review/rig/quic_process.py
+++ b/review/rig/quic_process.py
@@ -1,4 +1,4 @@
-"""The QUIC reading server as a process that a case can kill, stop and continue."""
+"""The QUIC reading server as a process, which a case can kill or let hang."""
 
 import asyncio
 import signal
@@ -21,8 +21,7 @@
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, str(Path(__file__).with_name("quic_server.py")), self.name, str(self.port),
-            str(self.delay),
-            stdout=subprocess.PIPE, preexec_fn=rig.end_with_parent)
+            str(self.delay), stdout=subprocess.PIPE, preexec_fn=rig.end_with_parent)
         if (await self.process.stdout.readline()).strip() != b"listens":
             raise rig.NotRun("the stand-in server does not listen")
         self.task = asyncio.create_task(self.read())
@@ -39,5 +38,12 @@
         if self.process.returncode is None:
             self.process.send_signal(number)
 
+    def hang(self):
+        """Takes what it gets from now on and answers nothing."""
+        self.signal(signal.SIGUSR1)
+
+    def recover(self):
+        self.signal(signal.SIGUSR2)
+
     def kill(self):
         self.signal(signal.SIGKILL)
--- a/review/rig/quic_server.py
+++ b/review/rig/quic_server.py
@@ -1,10 +1,12 @@
 """A reading server of QUIC in a process of its own: takes Initials, answers after a delay, and returns each line at once.
 
-Usage: quic_server.py NAME PORT DELAY_S. It prints what it has taken and answered, one event a line. The content of its
-short packets is not encrypted, as the balancer does not open them.
+Usage: quic_server.py NAME PORT DELAY_S. It prints what it has taken and answered, one event a line. From SIGUSR1 to
+SIGUSR2 it hangs: it takes what it gets and answers nothing. The content of its short packets is not encrypted, as the
+balancer does not open them.
 """
 
 import os
+import signal
 import socket
 import sys
 import time
@@ -20,19 +22,26 @@
     sock.bind(("127.0.0.1", port))
     print("listens", flush=True)
     taken, clients, due = {}, {}, []
+    hangs = []
+    signal.signal(signal.SIGUSR1, lambda number, frame: hangs.append(True))
+    signal.signal(signal.SIGUSR2, lambda number, frame: hangs.clear())
     while True:
         sock.settimeout(max(0.001, due[0][0] - time.monotonic()) if due else None)
         try:
             datagram, sender = sock.recvfrom(2048)
         except TimeoutError:
             _, first, client_id, sender = due.pop(0)
+            if hangs:
+                continue
             answer = quic.seal(first, b"server", client_id, taken[first], 0, quic.crypto(b"UP " + name.encode()))
             sock.sendto(answer, sender)
             print(f"answers {first.hex()}", flush=True)
             continue
         own_id = datagram[1:1 + quic.ID_LENGTH]
         if datagram and not datagram[0] & 0x80:
-            if own_id in clients:
+            if own_id in clients and hangs:
+                print(f"ignores {own_id.hex()}", flush=True)
+            elif own_id in clients:
                 sock.sendto(quic.short(clients[own_id], b"RE " + datagram[1 + quic.ID_LENGTH:]), sender)
                 print(f"returns {own_id.hex()}", flush=True)
             continue
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -58,6 +58,12 @@
     return found.group(1)
 
 
+def short_temporary_folder():
+    """A folder for temporary files; the paths of the processes' sockets in it must stay under 108 bytes."""
+    folder = tempfile.gettempdir()
+    return "/tmp" if len(folder) > 40 and os.access("/tmp", os.W_OK) else folder
+
+
 def free_port(kind=socket.SOCK_STREAM):
     with socket.socket(socket.AF_INET, kind) as probe:
         probe.bind(("127.0.0.1", 0))
@@ -222,7 +228,7 @@
     def __init__(self, record, discovery, document, known, arguments="", listener_fd=None, operator=False):
         self.record = record
         self.discovery = discovery
-        self.folder = Path(tempfile.mkdtemp(prefix="ashtide-review-"))
+        self.folder = Path(tempfile.mkdtemp(prefix="ashtide-review-", dir=short_temporary_folder()))
         self.state = self.folder / "state"
         self.state.mkdir()
         self.arguments = arguments
