--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,9 @@
-"""A new version takes over while some connections have fallen quiet: are these ended or moved within 7 s?
+"""A new version takes over while some connections are silent. Are these ended or moved within 7 s?
 
-TROUBLE=1        some connections to a running server fall quiet, and a new version takes over
+TROUBLE=1        some connections of a running server become silent, and a new version takes over
 TROUBLE=0        neither
-TROUBLE=quiet    only the connections fall quiet
-TROUBLE=upgrade  only the new version takes over
+TROUBLE=quiet    only the silent connections
+TROUBLE=upgrade  only the new version
 """
 
 import asyncio
@@ -24,13 +24,13 @@
 INTERVAL = 2.0
 # PROTOCOL: "one that returns nothing from a running reading server, within 7 s"; every time limit is 50 ms longer.
 LIMIT = 7.05
-# Time from the first line that is not answered to the start of the new version. SIGTERM to the old one follows its yes.
+# Time from the first unanswered line to the start of the new version. SIGTERM to the old one follows when it is ready.
 UPGRADE_AFTER = 2.6
 WATCHED = 14.0
 
 
 class Client:
-    """Opens a connection, sends a line on a common beat, and notes when something comes back."""
+    """A client that sends a line every 2 s and measures the time without an answer."""
 
     def __init__(self, record, number):
         self.record, self.number, self.name = record, number, f"client {number}"
@@ -96,13 +96,13 @@
 async def play(record, server, gateway):
     old = gateway.start()
     if not await gateway.ready(old):
-        raise rig.NotRun("the first process does not say yes")
+        raise rig.NotRun("the first process does not become ready")
     clients = [Client(record, number) for number in range(1, CLIENTS + 1)]
     for client in clients:
         await client.open(gateway.listen)
     if not all(client.answer.startswith("UP ") for client in clients):
-        raise rig.NotRun("not all clients are up")
-    # The last ones, as a balancer that finds a server slow moves the first ones off it.
+        raise rig.NotRun("not all clients are established")
+    # The last ones, because a gateway migrates the first ones from a server that it finds slow.
     quiet = [client for client in clients if client.answer.startswith(f"UP {server.name}-")][-QUIET_CLIENTS:]
     for beat in (1, 2):
         await asyncio.sleep(INTERVAL)
@@ -111,7 +111,7 @@
     await asyncio.sleep(INTERVAL / 2)
     if QUIET:
         for client in quiet:
-            record(server.name, f"{client.id} falls quiet: it stays open and returns nothing; the server runs on")
+            record(server.name, f"{client.id} is silent from now on: it stays open and returns nothing; the server runs")
             server.quiet.add(client.id)
     await asyncio.sleep(INTERVAL / 2)
     start = record.now()
@@ -137,17 +137,17 @@
     if cut:
         return rig.BROKEN, f"{cut} of {len(clients)} connections were cut off without MOVE"
     if late:
-        return rig.BROKEN, (f"{len(late)} of {len(quiet)} quiet connections returned nothing for over {LIMIT} s and were "
-                            f"neither ended nor moved within that time (the longest: {worst:.2f} s)")
+        return rig.BROKEN, (f"{len(late)} of {len(quiet)} silent connections were neither ended nor moved within "
+                            f"{LIMIT} s of their first unanswered line (the longest: {worst:.2f} s)")
     return rig.HELD, f"the longest time without an answer, an end or a move was {worst:.2f} s"
 
 
 async def take_over(record, gateway, old):
-    """A new version: it is started beside the old process and says yes, and then the old one gets SIGTERM."""
+    """Starts a new version beside the old process, and sends SIGTERM to the old one when the new one is ready."""
     await asyncio.sleep(UPGRADE_AFTER)
     new = gateway.start()
     if not await gateway.ready(new, 6.0):
-        raise rig.NotRun("the new process does not say yes within 6 s")
+        raise rig.NotRun("the new process is not ready within 6 s")
     await asyncio.sleep(0.2)
     gateway.signal(old, signal.SIGTERM)
     while old.poll() is None:
--- a/review/rig/quic.py
+++ b/review/rig/quic.py
@@ -1,4 +1,4 @@
-"""Initial packets of QUIC version 1 (RFC 9000, RFC 9001), as much as the stand-in client and server need."""
+"""Initial packets of QUIC version 1 (RFC 9000, RFC 9001), as far as the stand-in client and server need them."""
 
 import hashlib
 import hmac
@@ -184,16 +184,16 @@
 
 
 def routable_id(name):
-    """An id of a server as the README describes: QUIC-LB without encryption, configuration 0."""
+    """A connection id of a server, as the README describes it: QUIC-LB, unencrypted, configuration 0."""
     return bytes([ID_LENGTH - 1]) + hashlib.sha256(name.encode()).digest()[:4] + os.urandom(ID_LENGTH - 5)
 
 
 def is_reset(datagram, server_id):
-    """Whether a datagram is a stateless reset of the connection with this id: the front's MOVE."""
+    """Checks whether a datagram is a stateless reset for this connection id, which is the front end's `MOVE`."""
     return len(datagram) >= 21 and datagram.endswith(hmac.new(RESET_KEY, server_id, hashlib.sha256).digest()[:16])
 
 
 def fronts(port, class_name, deadline_ms):
-    """The deploy file of the QUIC front."""
+    """Returns the deploy file of the QUIC front end."""
     return (f'[quic]\nlisten = "127.0.0.1:{port}"\nclass = "{class_name}"\ndeadline_ms = {deadline_ms}\n'
             f'id_length = {ID_LENGTH}\nrotation = 0\nreset_key = "{RESET_KEY.hex()}"\npaths = 256\nidle_ms = 30000\n')
--- a/review/rig/quic_process.py
+++ b/review/rig/quic_process.py
@@ -1,4 +1,4 @@
-"""The QUIC reading server as a process, which a case can kill or let hang."""
+"""Control of the QUIC server process: kill, hang, recover."""
 
 import asyncio
 import signal
@@ -22,8 +22,8 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, str(Path(__file__).with_name("quic_server.py")), self.name, str(self.port),
             str(self.delay), stdout=subprocess.PIPE, preexec_fn=rig.end_with_parent)
-        if (await self.process.stdout.readline()).strip() != b"listens":
-            raise rig.NotRun("the stand-in server does not listen")
+        if (await self.process.stdout.readline()).strip() != b"listening":
+            raise rig.NotRun("the stand-in server is not listening")
         self.task = asyncio.create_task(self.read())
 
     async def read(self):
@@ -31,15 +31,15 @@
             self.events.append((self.record.now(), line[0], line[1]))
             self.record(self.name, f"{line[0]} {line[1]}")
 
-    def took(self):
-        return [event for event in self.events if event[1] == "takes"]
+    def received(self):
+        return [event for event in self.events if event[1] == "received"]
 
     def signal(self, number):
         if self.process.returncode is None:
             self.process.send_signal(number)
 
     def hang(self):
-        """Takes what it gets from now on and answers nothing."""
+        """Makes the server read datagrams and answer none."""
         self.signal(signal.SIGUSR1)
 
     def recover(self):
--- a/review/rig/quic_server.py
+++ b/review/rig/quic_server.py
@@ -1,8 +1,7 @@
-"""A reading server of QUIC in a process of its own: takes Initials, answers after a delay, and returns each line at once.
+"""A QUIC server as a process: answers an Initial after a delay, and each line immediately.
 
-Usage: quic_server.py NAME PORT DELAY_S. It prints what it has taken and answered, one event a line. From SIGUSR1 to
-SIGUSR2 it hangs: it takes what it gets and answers nothing. The content of its short packets is not encrypted, as the
-balancer does not open them.
+Usage: quic_server.py NAME PORT DELAY_S. It prints one line for each event. Between SIGUSR1 and SIGUSR2 it hangs: it reads
+datagrams and answers none. The content of short-header packets is not encrypted, as the gateway does not decrypt it.
 """
 
 import os
@@ -20,7 +19,7 @@
     name, port, delay = sys.argv[1], int(sys.argv[2]), float(sys.argv[3])
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.bind(("127.0.0.1", port))
-    print("listens", flush=True)
+    print("listening", flush=True)
     taken, clients, due = {}, {}, []
     hangs = []
     signal.signal(signal.SIGUSR1, lambda number, frame: hangs.append(True))
@@ -35,15 +34,15 @@
                 continue
             answer = quic.seal(first, b"server", client_id, taken[first], 0, quic.crypto(b"UP " + name.encode()))
             sock.sendto(answer, sender)
-            print(f"answers {first.hex()}", flush=True)
+            print(f"answered {first.hex()}", flush=True)
             continue
         own_id = datagram[1:1 + quic.ID_LENGTH]
         if datagram and not datagram[0] & 0x80:
             if own_id in clients and hangs:
-                print(f"ignores {own_id.hex()}", flush=True)
+                print(f"ignored {own_id.hex()}", flush=True)
             elif own_id in clients:
                 sock.sendto(quic.short(clients[own_id], b"RE " + datagram[1 + quic.ID_LENGTH:]), sender)
-                print(f"returns {own_id.hex()}", flush=True)
+                print(f"echoed {own_id.hex()}", flush=True)
             continue
         packet = quic.Packet(datagram)
         if not packet.ok or packet.kind != 0:
@@ -51,11 +50,11 @@
         if packet.open(packet.destination, b"client") is None:
             continue
         if packet.destination in taken:
-            print(f"again {packet.destination.hex()}", flush=True)
+            print(f"retransmission {packet.destination.hex()}", flush=True)
             continue
         taken[packet.destination] = quic.routable_id(name)
         clients[taken[packet.destination]] = packet.source
-        print(f"takes {packet.destination.hex()}", flush=True)
+        print(f"received {packet.destination.hex()}", flush=True)
         due.append((time.monotonic() + delay, packet.destination, packet.source, sender))
 
 
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -24,7 +24,7 @@
 
 
 class NotRun(Exception):
-    """The case could not be run, so that it has no verdict."""
+    """The case could not run and has no verdict."""
 
 
 def trouble():
@@ -32,7 +32,7 @@
 
 
 class Record:
-    """What was sent, answered and run, with seconds since the start of the test."""
+    """Log of what was sent, answered and run, in seconds since the start of the test."""
 
     def __init__(self, folder):
         self.started = time.monotonic()
@@ -197,9 +197,9 @@
             self.attempts.append((self.record.now(), identity))
             self.record(self.name, f"attempt {identity}: {line}")
             if self.hangs.is_set() or self.silent_to_open:
-                self.record(self.name, f"attempt {identity}: takes it and answers nothing")
+                self.record(self.name, f"attempt {identity}: received, not answered")
                 await reader.read()
-                self.record(self.name, f"attempt {identity}: ended by the balancer")
+                self.record(self.name, f"attempt {identity}: closed by the gateway")
                 return
             self.receipts += 1
             receipt = f"{self.name}-{self.receipts}"
@@ -209,13 +209,13 @@
                 line = await reader.readuntil(b"\r\n")
                 text = line.decode().strip()
                 if self.hangs.is_set() or identity in self.quiet:
-                    self.record(self.name, f"{identity}: got '{text}', returns nothing")
+                    self.record(self.name, f"{identity}: received '{text}', not answered")
                     continue
                 writer.write(b"RE " + line)
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError):
             if identity != "-":
-                self.record(self.name, f"{identity}: the balancer ended the connection")
+                self.record(self.name, f"{identity}: the gateway closed the connection")
         except asyncio.CancelledError:
             pass
         finally:
@@ -273,7 +273,7 @@
         return process
 
     async def ready(self, process, seconds=10.0):
-        """Waits for the operator's `health` to say yes, or without a door for `PONG`."""
+        """Waits until the admin endpoint reports ready; without an admin endpoint, until `PING` is answered."""
         address, line = (process.operator, b"health\r\n") if process.operator else (self.listen, b"PING\r\n")
         expected = b"200" if process.operator else b"PONG"
         until = time.monotonic() + seconds
@@ -281,7 +281,7 @@
             if process.poll() is not None:
                 return False
             if (await ask(address, line)).startswith(expected):
-                self.record("platform", f"process {process.number} says yes")
+                self.record("platform", f"process {process.number} is ready")
                 return True
             await asyncio.sleep(0.02)
         return False
@@ -305,7 +305,7 @@
 
 
 def end_with_parent():
-    """Has the kernel end a child if the test itself is killed."""
+    """Makes the kernel kill a child process when the test exits."""
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)
 
 
