--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -12,13 +12,18 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# The status with which a case says that the rule was broken. `run.sh` makes it 1, and any other but 0 a 2, so that a fault
+# of the script is not taken for a broken rule.
+BROKEN = 10
 
 
 class CannotRun(Exception):
@@ -295,7 +300,6 @@
             def before_exec():
                 os.dup2(number, 4, inheritable=True)
             options = {"preexec_fn": before_exec, "close_fds": False}
-        import subprocess
         process = subprocess.Popen(["/bin/sh", "-c", deploy_command("run") + arguments], cwd=ROOT, env=environment,
                                    stdout=log, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL, **options)
         self.processes.append(process)
@@ -382,16 +386,19 @@
         return await asyncio.wait_for(case(record, temporary, gateways), 110)
 
     code = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         if not (ROOT / "target/release/ashtide").exists():
             raise CannotRun("the daemon is not built")
         broken = asyncio.run(limited())
         for line in broken:
             record(f"BROKEN: {line}")
-        code = 1 if broken else 0
+        code = BROKEN if broken else 0
         record("result: " + ("the rule was broken" if broken else "the rule held"))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except BaseException as error:  # also a fault of the script itself: only a broken rule may end with 1
         record(f"result: could not run: {error!r}")
+        if not isinstance(error, CannotRun):
+            record(traceback.format_exc())
     finally:
         for gateway in gateways:
             gateway.stop_all()
