--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,7 @@
 from rig import TROUBLE, CannotRun, Client, Discovery, Gateway, Server, run_case, settings  # noqa: E402
 
 SERVERS = 8                 # "8 to 10 feed servers and 1 to 2 balancers"
-FULL = 90                   # connections that fill a server of six cores; "8.2 to 22 fill one core"
+FULL = 132                  # connections that fill a server of six cores; "8.2 to 22 fill one core"
 LOAD = 0.44                 # of what all servers can do; 0.36 to 0.44 on the site's days of trouble
 RETURN = (0.1, 1.1)         # "After a break clients come again within 100 to 1,100 ms"
 OUTAGE = 8.0                # "discovery is down for 8 s"
