An upgrade waits for the QUIC and VRRP addresses instead of exiting

Cause: QuicFrontend::bind bound once and made any error fatal, while the old process keeps the address until it exits. net::vrrp gave up on the same error and stayed off.

Change: both start when their address is free; other bind errors are still fatal. A process that hands over starts no QUIC connection any more and releases the address once its own have ended, so that the successor serves within the clients' wait. UDP binds are retried every 50 ms (500 before).

--- a/crates/ashtide-testkit/src/daemon.rs
+++ b/crates/ashtide-testkit/src/daemon.rs
@@ -26,6 +26,9 @@
 pub struct Options {
     /// Number of sockets from the QUIC front end to servers. With 0 there is no QUIC front end.
     pub paths: usize,
+    /// Address of the QUIC front end, or `None` for a free one. If it is set, [`Daemon::start`] does not wait
+    /// until the front end listens, because a sibling may still use the address.
+    pub quic_address: Option<SocketAddr>,
     /// `[vrrp]` section of the front ends file, in TOML, or empty.
     pub vrrp: String,
     /// Limit on file descriptors, in addition to those for `paths`. 0 means 1,024.
@@ -122,8 +125,9 @@
         let stderr = child.stderr.take().ok_or(ScenarioError::TimedOut("the daemon's log"))?;
         let mut lines = BufReader::new(stderr).lines();
         let (mut logged, mut line_address, mut quic, mut admin_address) = (Vec::new(), None, None, None);
+        let awaits_quic = options.paths > 0 && options.quic_address.is_none();
         while line_address.is_none()
-            || (options.paths > 0 && quic.is_none())
+            || (awaits_quic && quic.is_none())
             || (has_admin_endpoint && admin_address.is_none())
         {
             let line = within("the log line that the daemon listens", lines.next_line()).await??;
@@ -151,6 +155,7 @@
             }
         });
         let lines = line_address.ok_or(ScenarioError::TimedOut("the line front end"))?;
+        let quic = quic.or(options.quic_address);
         Ok(Self { lines, quic, admin_address, child, log_reader, log_lines, folder, config })
     }
 
@@ -352,8 +357,9 @@
         }
     };
     if options.paths > 0 {
+        let listen = options.quic_address.unwrap_or(([127, 0, 0, 1], 0).into());
         let text = format!(
-            "[quic]\nlisten = \"127.0.0.1:0\"\nclass = \"meter\"\ndeadline_ms = {INITIAL_DEADLINE_MS}\n\
+            "[quic]\nlisten = \"{listen}\"\nclass = \"meter\"\ndeadline_ms = {INITIAL_DEADLINE_MS}\n\
              id_length = {ID_LENGTH}\nreset_key = \"{RESET_KEY}\"\npaths = {}\n{}",
             options.paths, options.vrrp
         );
--- a/src/main.rs
+++ b/src/main.rs
@@ -465,27 +465,40 @@
 
     /// Starts the QUIC front end. If VRRP is configured, starts it as well, and the front end accepts new
     /// connections only while the virtual router is active.
+    ///
+    /// Both start as soon as their addresses are free: during an upgrade, the previous process uses them until
+    /// it has ended its connections.
     async fn start_quic(&self, quic: QuicConfig, vrrp: Option<VrrpConfig>) -> Result<(), StartupError> {
         if self.config.settings.name_tables().classes.find(&quic.class).is_none() {
             return Err(StartupError::UnknownQuicClass(quic.class));
         }
-        let (accepting_sender, accepting) = watch::channel(vrrp.is_none());
         let address = quic.listen;
-        let servers = self.event_loop.server_addresses();
-        let seed = self.config.seed;
-        let frontend = quic::QuicFrontend::bind(quic, seed, self.handle.clone(), servers, accepting)
+        let socket = bind_retry::bind_udp_if_free(address)
             .await
             .map_err(|error| StartupError::Quic { address, error })?;
-        info!("quic: listens on {}", frontend.address()?);
-        tokio::spawn(frontend.run());
-        if let Some(vrrp) = vrrp {
-            let stopping = self.stop.subscribe();
-            tokio::spawn(async move {
-                if let Err(error) = vrrp::run(vrrp, accepting_sender, stopping).await {
-                    info!("vrrp: {error}; this process accepts no new QUIC connections");
-                }
-            });
-        }
+        let (active_sender, accepts_connections) = watch::channel(vrrp.is_none());
+        let inputs = quic::FrontendInputs {
+            endpoint_addresses: self.event_loop.server_addresses(),
+            accepts_connections,
+            handing_over: self.event_loop.handing_over(),
+        };
+        let (seed, handle) = (self.config.seed, self.handle.clone());
+        let stopping = self.stop.subscribe();
+        tokio::spawn(async move {
+            let socket = match socket {
+                Some(socket) => socket,
+                None => bind_retry::bind_udp_with_retry("quic", address).await,
+            };
+            let frontend = quic::QuicFrontend::new(quic, seed, socket, handle, inputs);
+            match frontend.address() {
+                Ok(bound) => info!("quic: listens on {bound}"),
+                Err(error) => info!("quic: cannot read the bound address: {error}"),
+            }
+            if let Some(vrrp) = vrrp {
+                tokio::spawn(vrrp::run(vrrp, active_sender, stopping));
+            }
+            frontend.run().await;
+        });
         Ok(())
     }
 
--- a/src/net/bind_retry.rs
+++ b/src/net/bind_retry.rs
@@ -37,7 +37,21 @@
 }
 
 /// Delay between two attempts to bind a UDP address.
-const BIND_RETRY_DELAY: Duration = Duration::from_millis(500);
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Binds a UDP socket; returns `None` if another process uses the address, as a sibling does during an
+/// upgrade.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound for any other reason.
+pub async fn bind_udp_if_free(address: SocketAddr) -> io::Result<Option<UdpSocket>> {
+    match UdpSocket::bind(address).await {
+        Ok(socket) => Ok(Some(socket)),
+        Err(error) if error.kind() == io::ErrorKind::AddrInUse => Ok(None),
+        Err(error) => Err(error),
+    }
+}
 
 /// Binds a UDP socket as soon as its address is free. During an upgrade, a sibling may still use the address.
 ///
--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -142,6 +142,11 @@
         self.shutdown.subscribe()
     }
 
+    /// Returns a receiver that becomes true when the process begins to hand over to its successor.
+    pub fn handing_over(&self) -> watch::Receiver<bool> {
+        self.shutdown.subscribe_to_handover()
+    }
+
     /// Runs the event loop until the process is to exit. `known_list` is the cached endpoint list, if there
     /// is one.
     pub async fn run(mut self, known_list: Option<EndpointList>) {
--- a/src/net/event_loop/shutdown.rs
+++ b/src/net/event_loop/shutdown.rs
@@ -26,6 +26,8 @@
     limits: Option<ShutdownLimits>,
     /// Whether only final answers are still written, and no client is accepted any more.
     closing: watch::Sender<bool>,
+    /// Whether the process hands over to its successor.
+    handing_over: watch::Sender<bool>,
 }
 
 struct ShutdownLimits {
@@ -40,6 +42,11 @@
     pub(super) fn subscribe(&self) -> watch::Receiver<bool> {
         self.closing.subscribe()
     }
+
+    /// Returns a receiver that becomes true when the process begins to hand over to its successor.
+    pub(super) fn subscribe_to_handover(&self) -> watch::Receiver<bool> {
+        self.handing_over.subscribe()
+    }
 }
 
 impl EventLoop {
@@ -49,6 +56,7 @@
         let exit_limit = grace.saturating_sub(CLOSE_MARGIN);
         let answer_limit = exit_limit.saturating_sub(CLOSE_MARGIN);
         if self.sibling_link.successor().is_some() {
+            self.shutdown.handing_over.send_replace(true);
             self.engine.begin_handover(now, to_span(answer_limit), to_span(exit_limit), &mut self.commands);
             let is_handoff = |command: &&Command| matches!(command, Command::HandOff { .. });
             let handed_off = self.commands.iter().filter(is_handoff).count();
--- a/src/net/quic/clients.rs
+++ b/src/net/quic/clients.rs
@@ -88,7 +88,7 @@
 
     /// Requests a new connection from the event loop.
     async fn start_connection(&mut self, ids: InitialIds, datagram: &[u8], client: SocketAddr) {
-        if !*self.accepts_connections.borrow() {
+        if !self.accepts_new_connections() {
             self.drops.rejected += 1;
             return;
         }
@@ -112,6 +112,11 @@
     /// Servers issue connection ids in encrypted packets, so the server is decoded from the id itself. An id
     /// that encodes no server of the endpoint list is answered once, with a stateless reset.
     async fn restore_connection(&mut self, destination: ConnectionId, datagram: &[u8], client: SocketAddr) {
+        if self.is_handing_over() {
+            // The client's next datagram reaches the successor.
+            self.drops.rejected += 1;
+            return;
+        }
         let server_id = decode_server_id(&destination, self.config.rotation);
         let server = server_id.and_then(|server_id| self.servers_by_id.get(&server_id)).cloned();
         let Some(server) = server.filter(|_| self.flows.has_free_path()) else {
--- a/src/net/quic/flow_table.rs
+++ b/src/net/quic/flow_table.rs
@@ -61,6 +61,10 @@
         self.flows.len()
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
     pub(super) fn open_paths(&self) -> usize {
         self.open_paths
     }
--- a/src/net/quic/mod.rs
+++ b/src/net/quic/mod.rs
@@ -19,6 +19,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -65,8 +66,8 @@
     pub unexpected: u64,
     /// Datagrams with a connection id that has already received its final answer.
     pub already_answered: u64,
-    /// Datagrams of new connections or paths that this process does not accept, because it is a backup or at
-    /// its limit.
+    /// Datagrams of new connections or paths that this process does not accept, because it is a backup, hands
+    /// over to its successor or is at its limit.
     pub rejected: u64,
     /// Datagrams that the socket did not accept within the time limit.
     pub send_failed: u64,
@@ -79,6 +80,16 @@
     address: SocketAddr,
 }
 
+/// State of the daemon that the front end follows.
+pub struct FrontendInputs {
+    /// Listed servers' addresses by name.
+    pub endpoint_addresses: watch::Receiver<BTreeMap<String, SocketAddr>>,
+    /// Whether this process accepts new connections.
+    pub accepts_connections: watch::Receiver<bool>,
+    /// Whether this process hands over to its successor, which then uses the address for clients.
+    pub handing_over: watch::Receiver<bool>,
+}
+
 /// QUIC front end of a gateway.
 pub struct QuicFrontend {
     config: QuicConfig,
@@ -96,29 +107,26 @@
     servers_by_id: HashMap<QuicServerId, QuicServer>,
     /// Whether this process accepts new connections.
     accepts_connections: watch::Receiver<bool>,
+    /// Whether this process hands over to its successor.
+    handing_over: watch::Receiver<bool>,
     drops: DropCounts,
     reported_drops: DropCounts,
 }
 
 impl QuicFrontend {
-    /// Creates a front end and binds its address.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the address cannot be bound.
-    pub async fn bind(
+    /// Creates a front end that serves clients on `socket`.
+    pub fn new(
         config: QuicConfig,
         seed: u64,
+        socket: UdpSocket,
         event_loop: EventLoopHandle,
-        endpoint_addresses: watch::Receiver<BTreeMap<String, SocketAddr>>,
-        accepts_connections: watch::Receiver<bool>,
-    ) -> io::Result<Self> {
-        let socket = UdpSocket::bind(config.listen).await?;
+        inputs: FrontendInputs,
+    ) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let reset_key = config.reset_key_bytes().unwrap_or_else(|| random_reset_key(&mut rng));
         let (command_sender, commands) = mpsc::channel(config.paths * COMMANDS_PER_PATH);
         let (server_datagram_sender, server_datagrams) = mpsc::channel(SERVER_DATAGRAM_QUEUE);
-        Ok(Self {
+        Self {
             reset_key: ResetKey::new(reset_key),
             rng,
             socket,
@@ -129,13 +137,14 @@
             server_datagram_sender,
             connection_ids: ConnectionIdTable::new(MAX_ANSWERED_IDS),
             flows: FlowTable::new(config.paths),
-            endpoint_addresses,
+            endpoint_addresses: inputs.endpoint_addresses,
             servers_by_id: HashMap::new(),
-            accepts_connections,
+            accepts_connections: inputs.accepts_connections,
+            handing_over: inputs.handing_over,
             drops: DropCounts::default(),
             reported_drops: DropCounts::default(),
             config,
-        })
+        }
     }
 
     /// Returns the bound address for clients.
@@ -147,13 +156,14 @@
         self.socket.local_addr()
     }
 
-    /// Serves until the process exits.
+    /// Serves until the process exits, or until it hands over and all connections have ended. The address is
+    /// then free for the successor.
     pub async fn run(mut self) {
         let mut sweep = interval(SWEEP_INTERVAL);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = [0; MAX_DATAGRAM_LENGTH];
         self.update_endpoints();
-        loop {
+        while !(self.is_handing_over() && self.flows.is_empty()) {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => if let Ok((length, client)) = received {
                     self.handle_client_datagram(&buffer[..length], client).await;
@@ -163,9 +173,22 @@
                     self.handle_command(id, command).await;
                 }
                 Ok(()) = self.endpoint_addresses.changed() => self.update_endpoints(),
+                // Checked by the loop's condition.
+                Ok(()) = self.handing_over.changed() => {}
                 _ = sweep.tick() => self.sweep().await,
             }
         }
+        info!("quic: all connections have ended; the successor may use the address");
+    }
+
+    fn is_handing_over(&self) -> bool {
+        *self.handing_over.borrow()
+    }
+
+    /// Returns whether new connections are accepted. A new connection that arrives during a handover is
+    /// dropped, and the client's next Initial reaches the successor.
+    fn accepts_new_connections(&self) -> bool {
+        *self.accepts_connections.borrow() && !self.is_handing_over()
     }
 
     fn update_endpoints(&mut self) {
--- a/src/net/vrrp.rs
+++ b/src/net/vrrp.rs
@@ -1,6 +1,5 @@
 //! Runs a virtual router over UDP; the QUIC front end accepts new connections only while it is active.
 
-use std::io;
 use std::net::SocketAddr;
 
 use tokio::net::UdpSocket;
@@ -9,25 +8,21 @@
 use tracing::info;
 
 use crate::config::VrrpConfig;
+use crate::net::bind_retry::bind_udp_with_retry;
 use crate::vrrp::{Advertisement, RouterAction, RouterState, VirtualRouter};
 
 /// Size of the receive buffer in bytes. A longer packet is truncated, and is no valid advertisement anyway.
 const MAX_PACKET_LENGTH: usize = 128;
 
 /// Runs a virtual router until `stop` becomes true, and publishes on `active` whether it is the active
-/// router.
-///
-/// # Errors
-///
-/// Returns an error if the address cannot be bound.
-pub async fn run(
-    config: VrrpConfig,
-    active: watch::Sender<bool>,
-    mut stop: watch::Receiver<bool>,
-) -> io::Result<()> {
-    let socket = UdpSocket::bind(config.listen).await?;
+/// router. The router starts as soon as its address is free.
+pub async fn run(config: VrrpConfig, active: watch::Sender<bool>, mut stop: watch::Receiver<bool>) {
+    let socket = tokio::select! {
+        socket = bind_udp_with_retry("vrrp", config.listen) => socket,
+        _ = stop.wait_for(|&stop| stop) => return,
+    };
     let mut driver = RouterDriver {
-        own_address: socket.local_addr()?,
+        own_address: socket.local_addr().unwrap_or(config.listen),
         router: VirtualRouter::new(config.virtual_router_config()),
         config,
         socket,
@@ -41,7 +36,7 @@
     loop {
         driver.perform(&mut actions).await;
         if driver.router.state() == RouterState::Initialize {
-            return Ok(());
+            return;
         }
         tokio::select! {
             // An error means that a peer is unreachable, which requires no action.
