A pushed list is used only once the agent has confirmed it

Cause: ListLease::new holds the configuration's list valid for 6 s from the start. For pushed lists what the agent has counts as announced from the first moment of a new process.

Change: with pushed lists the engine starts with an unconfirmed lease. The servers are masked as after the lease's end, until the agent answers, or refuses the first call (no agent, no newer list).

Why it works: the agent answers at once while discovery is up; while it is silent nothing shows which servers are cold or draining, so that nothing is placed.

--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -50,6 +50,8 @@
     /// Reference point that maps the runtime's instants to the engine's time.
     epoch: MonotonicEpoch,
     names: NameTables,
+    /// How this gateway receives the endpoint list.
+    discovery: DiscoveryMode,
     /// Commands of the engine that have not been executed yet.
     commands: Vec<Command>,
     events: mpsc::Receiver<DriverEvent>,
@@ -108,6 +110,7 @@
         let handle = EventLoopHandle::new(metrics, sender);
         let event_loop = Self {
             max_retry_after: settings.max_retry_after,
+            discovery: settings.discovery,
             commands: initial_commands(&settings),
             engine: Engine::new(settings, config.seed, epoch),
             epoch,
@@ -150,6 +153,9 @@
     /// Runs the event loop until the process is to exit. `known_list` is the cached endpoint list, if there
     /// is one.
     pub async fn run(mut self, known_list: Option<EndpointList>) {
+        if self.discovery == DiscoveryMode::Pushed {
+            self.engine.require_confirmed_list(self.now());
+        }
         self.restore_cordons();
         let no_list = EndpointList { index: 0, snapshot: true, endpoints: Vec::new() };
         self.apply_list(known_list.unwrap_or(no_list), ListUpdate::Cached);
