Connections with servers that the start's list lacks wait for discovery

Cause: a name that the known list lacks was taken for a client's error before discovery had answered once. A name interned by a stored cordon has no address, and looking it up panicked.

Change: net/event_loop/restores.rs holds such requests until discovery has confirmed the list, 40 s at most; a stop rejects them. The QUIC front drops datagrams for unlisted servers until then.

--- a/src/main.rs
+++ b/src/main.rs
@@ -479,6 +479,7 @@
         let (active_sender, accepts_connections) = watch::channel(vrrp.is_none());
         let inputs = quic::FrontendInputs {
             endpoint_addresses: self.event_loop.server_addresses(),
+            list_confirmed: self.event_loop.list_confirmed(),
             accepts_connections,
             handing_over: self.event_loop.handing_over(),
         };
--- a/src/net/event_loop/endpoint_list.rs
+++ b/src/net/event_loop/endpoint_list.rs
@@ -28,6 +28,8 @@
     /// Addresses of all servers that have ever been listed, also of deleted ones.
     addresses: HashMap<ServerId, SocketAddr>,
     published_addresses: watch::Sender<BTreeMap<String, SocketAddr>>,
+    /// Whether discovery has confirmed the list to this process.
+    confirmed: watch::Sender<bool>,
 }
 
 impl ServerDirectory {
@@ -36,11 +38,27 @@
         self.addresses[&server]
     }
 
+    /// Checks whether a server is or was listed. The name of a server may be known from a cordon alone.
+    pub(super) fn was_listed(&self, server: ServerId) -> bool {
+        self.addresses.contains_key(&server)
+    }
+
     /// Returns a receiver of the listed servers' addresses by name, updated with each change.
     pub(super) fn subscribe(&self) -> watch::Receiver<BTreeMap<String, SocketAddr>> {
         self.published_addresses.subscribe()
     }
 
+    /// Returns a receiver that becomes true when discovery has confirmed the list to this process. Before, the
+    /// list may lack servers that clients are connected with.
+    pub(super) fn subscribe_to_confirmation(&self) -> watch::Receiver<bool> {
+        self.confirmed.subscribe()
+    }
+
+    /// Checks whether discovery has confirmed the list to this process.
+    pub(super) fn is_confirmed(&self) -> bool {
+        *self.confirmed.borrow()
+    }
+
     /// Returns the complete list.
     fn snapshot(&self) -> EndpointList {
         EndpointList {
@@ -142,6 +160,7 @@
         let entries = self.endpoints.apply(now, list, kind, &mut self.names);
         self.endpoints.publish_addresses();
         self.engine.handle_list_update(now, kind, entries, &mut self.commands);
+        self.resume_restores(now);
         if !self.endpoints.entries.is_empty() {
             self.health.mark_ready();
         }
@@ -152,6 +171,8 @@
     /// Renews the lease on the list, as the watch has delivered all list updates so far.
     pub(super) fn handle_watch_synced(&mut self, now: Time) {
         self.endpoints.start_times.record_watch_synced(now);
+        self.endpoints.confirmed.send_replace(true);
+        self.fail_restores();
         self.engine.renew_list_lease(now, &mut self.commands);
     }
 
--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -2,6 +2,7 @@
 //! sessions.
 //!
 //! - `sessions`: requests, their attempts and their connections.
+//! - `restores`: requests to restore a connection with a server that is not listed.
 //! - `endpoint_list`: the endpoint list, and the names, addresses and start times derived from it.
 //! - `cordons`: servers cordoned by operators or for maintenance.
 //! - `shared_state`: observations shared among the gateways, and quotas; both are off unless configured.
@@ -11,6 +12,7 @@
 mod cordons;
 mod endpoint_list;
 mod observability;
+mod restores;
 mod sessions;
 mod shared_state;
 mod shutdown;
@@ -25,6 +27,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use self::endpoint_list::ServerDirectory;
+use self::restores::PendingRestores;
 use self::sessions::SessionTable;
 use self::shared_state::QuotaAdmission;
 use self::shutdown::Shutdown;
@@ -59,6 +62,7 @@
     cordon_requests: mpsc::Receiver<CordonRequest>,
     handle: EventLoopHandle,
     sessions: SessionTable,
+    pending_restores: PendingRestores,
     endpoints: ServerDirectory,
     /// Servers that the gateways have taken out of service for maintenance.
     under_maintenance: BTreeSet<String>,
@@ -119,6 +123,7 @@
             cordon_requests,
             handle: handle.clone(),
             sessions: SessionTable::default(),
+            pending_restores: PendingRestores::default(),
             endpoints: ServerDirectory::default(),
             under_maintenance: BTreeSet::new(),
             quota: QuotaAdmission::default(),
@@ -140,6 +145,11 @@
         self.endpoints.subscribe()
     }
 
+    /// Returns a receiver that becomes true when discovery has confirmed the list to this process.
+    pub fn list_confirmed(&self) -> watch::Receiver<bool> {
+        self.endpoints.subscribe_to_confirmation()
+    }
+
     /// Returns a receiver that becomes true when the process is about to exit and no longer accepts clients.
     pub fn closing(&self) -> watch::Receiver<bool> {
         self.shutdown.subscribe()
@@ -168,6 +178,7 @@
                 biased;
                 Some(request) = self.cordon_requests.recv() => self.handle_cordon_request(request),
                 () = sleep_until_some(quota_tick_at) => self.quota.tick(),
+                () = sleep_until_some(self.pending_restores.next_expiry()) => self.expire_restores(),
                 () = sleep_until_some(exit_at) => return self.finish_shutdown().await,
                 event = self.engine.next_timer_event() => self.handle_timer(event),
                 event = self.events.recv() => match event {
@@ -192,7 +203,10 @@
                 self.update_gauges(now);
                 self.update_shared_state(now);
             }
-            TimerEvent::ShutdownDeadline => self.sibling_link.pending_clients.close(),
+            TimerEvent::ShutdownDeadline => {
+                self.reject_restores();
+                self.sibling_link.pending_clients.close();
+            }
             _ => {}
         }
     }
--- a/src/net/event_loop/sessions.rs
+++ b/src/net/event_loop/sessions.rs
@@ -59,12 +59,12 @@
                 self.handle_connection_requested(now, id, &request, commands);
             }
             SessionEvent::RestoreRequested { id, request, server, commands } => {
-                let known = self.register_connection(id, &request, &server, commands);
-                self.restore_connection(now, id, known);
+                self.sessions.insert(id, commands);
+                self.restore_connection(now, id, request, server);
             }
             SessionEvent::ConnectionAdopted { id, request, server, commands } => {
-                let known = self.register_connection(id, &request, &server, commands);
-                self.adopt_connection(now, id, known);
+                self.sessions.insert(id, commands);
+                self.adopt_connection(now, id, &request, &server);
             }
             SessionEvent::AttemptConnected { id, attempt } => {
                 if self.engine.may_send_first_byte(now, id, attempt, &mut self.commands) {
@@ -81,6 +81,7 @@
             }
             SessionEvent::ClientLeft { id } => {
                 self.engine.handle_client_left(now, id, &mut self.commands);
+                self.pending_restores.remove(id);
                 self.remove_session(id);
             }
             SessionEvent::MessageForwarded { id, answer_due } => {
@@ -113,8 +114,19 @@
         }
     }
 
-    fn restore_connection(&mut self, now: Time, id: RequestId, known: Option<KnownConnection>) {
-        match known {
+    /// Restores a connection with a server. A server that is not listed may be new to this process, so the
+    /// request waits until discovery has confirmed the list.
+    pub(super) fn restore_connection(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        requested: ConnectionRequest,
+        server: String,
+    ) {
+        if self.find_listed(&server).is_none() && !self.endpoints.is_confirmed() {
+            return self.pending_restores.insert(id, requested, server);
+        }
+        match self.register_connection(id, &requested, &server) {
             Some(KnownConnection { request, server }) => {
                 let timeout = request.time_left;
                 self.engine.handle_existing_connection(now, request, server, &mut self.commands);
@@ -124,8 +136,8 @@
         }
     }
 
-    fn adopt_connection(&mut self, now: Time, id: RequestId, known: Option<KnownConnection>) {
-        match known {
+    fn adopt_connection(&mut self, now: Time, id: RequestId, requested: &ConnectionRequest, server: &str) {
+        match self.register_connection(id, requested, server) {
             Some(KnownConnection { request, server }) => {
                 self.engine.adopt_connection(now, request, server, &mut self.commands);
             }
@@ -133,6 +145,12 @@
         }
     }
 
+    /// Returns the id of a server that is or was on the endpoint list.
+    pub(super) fn find_listed(&self, server: &str) -> Option<ServerId> {
+        let server = self.names.servers.find(server).map(ServerId)?;
+        self.endpoints.was_listed(server).then_some(server)
+    }
+
     fn handle_attempt_ended(&mut self, now: Time, id: RequestId, attempt: u32, outcome: Outcome) {
         if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
             self.log_server_fault(id, attempt, outcome);
@@ -155,17 +173,15 @@
         self.commands.iter().any(is_answer)
     }
 
-    /// Registers the command queue of a restored or adopted connection. Returns the connection in the
+    /// Counts a restored or adopted connection towards its tenant's quota. Returns the connection in the
     /// engine's form, or `None` if its class or server is not known to this process.
     fn register_connection(
         &mut self,
         id: RequestId,
         requested: &ConnectionRequest,
         server: &str,
-        commands: CommandSender,
     ) -> Option<KnownConnection> {
-        self.sessions.insert(id, commands);
-        let server = self.names.servers.find(server).map(ServerId)?;
+        let server = self.find_listed(server)?;
         let request = self.build_request(id, requested)?;
         self.quota.adopt_connection(id, requested);
         Some(KnownConnection { request, server })
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -20,6 +20,10 @@
 /// Capacity of one session's command queue, which is more than all attempts of a request need.
 pub const SESSION_COMMAND_QUEUE: usize = 32;
 
+/// Time limit for restoring a connection that existed before the start, unless the client waits longer. A
+/// connection that is not established by then is lost.
+pub const RESTORE_TIMEOUT: Duration = Duration::from_secs(40);
+
 /// A client's request for a connection, with the class, tenant and group by name.
 #[derive(Debug, Clone, Default)]
 pub struct ConnectionRequest {
--- a/src/net/quic/clients.rs
+++ b/src/net/quic/clients.rs
@@ -110,7 +110,8 @@
     /// Restores a connection that was established before this process received any of its datagrams.
     ///
     /// Servers issue connection ids in encrypted packets, so the server is decoded from the id itself. An id
-    /// that encodes no server of the endpoint list is answered once, with a stateless reset.
+    /// that encodes no server of the endpoint list is answered once, with a stateless reset, but not before
+    /// discovery has confirmed the list: until then, the client's datagram is dropped and sent again by it.
     async fn restore_connection(&mut self, destination: ConnectionId, datagram: &[u8], client: SocketAddr) {
         if self.is_handing_over() {
             // The client's next datagram reaches the successor.
@@ -119,6 +120,10 @@
         }
         let server_id = decode_server_id(&destination, self.config.rotation);
         let server = server_id.and_then(|server_id| self.servers_by_id.get(&server_id)).cloned();
+        if server.is_none() && server_id.is_some() && self.list_may_be_incomplete() {
+            self.drops.rejected += 1;
+            return;
+        }
         let Some(server) = server.filter(|_| self.flows.has_free_path()) else {
             self.connection_ids.mark_answered(destination);
             return self.send_reset(&destination, datagram.len(), client).await;
--- a/src/net/quic/mod.rs
+++ b/src/net/quic/mod.rs
@@ -30,7 +30,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use tracing::info;
 
-use super::messages::{CommandSender, EventLoopHandle, RequestCommand, SessionEvent};
+use super::messages::{CommandSender, EventLoopHandle, RESTORE_TIMEOUT, RequestCommand, SessionEvent};
 use crate::config::QuicConfig;
 use crate::decision::interface::{Outcome, RequestId};
 use crate::quic::ConnectionId;
@@ -67,7 +67,7 @@
     /// Datagrams with a connection id that has already received its final answer.
     pub already_answered: u64,
     /// Datagrams of new connections or paths that this process does not accept, because it is a backup, hands
-    /// over to its successor or is at its limit.
+    /// over to its successor, does not know their server yet or is at its limit.
     pub rejected: u64,
     /// Datagrams that the socket did not accept within the time limit.
     pub send_failed: u64,
@@ -84,6 +84,8 @@
 pub struct FrontendInputs {
     /// Listed servers' addresses by name.
     pub endpoint_addresses: watch::Receiver<BTreeMap<String, SocketAddr>>,
+    /// Whether discovery has confirmed the endpoint list to this process.
+    pub list_confirmed: watch::Receiver<bool>,
     /// Whether this process accepts new connections.
     pub accepts_connections: watch::Receiver<bool>,
     /// Whether this process hands over to its successor, which then uses the address for clients.
@@ -104,6 +106,9 @@
     connection_ids: ConnectionIdTable,
     flows: FlowTable,
     endpoint_addresses: watch::Receiver<BTreeMap<String, SocketAddr>>,
+    /// Whether discovery has confirmed the endpoint list to this process.
+    list_confirmed: watch::Receiver<bool>,
+    started_at: Instant,
     servers_by_id: HashMap<QuicServerId, QuicServer>,
     /// Whether this process accepts new connections.
     accepts_connections: watch::Receiver<bool>,
@@ -138,6 +143,8 @@
             connection_ids: ConnectionIdTable::new(MAX_ANSWERED_IDS),
             flows: FlowTable::new(config.paths),
             endpoint_addresses: inputs.endpoint_addresses,
+            list_confirmed: inputs.list_confirmed,
+            started_at: Instant::now(),
             servers_by_id: HashMap::new(),
             accepts_connections: inputs.accepts_connections,
             handing_over: inputs.handing_over,
@@ -191,6 +198,12 @@
         *self.accepts_connections.borrow() && !self.is_handing_over()
     }
 
+    /// Returns whether servers that clients are connected with may be missing from the list, because discovery
+    /// has not confirmed it to this process yet.
+    fn list_may_be_incomplete(&self) -> bool {
+        !*self.list_confirmed.borrow() && self.started_at.elapsed() < RESTORE_TIMEOUT
+    }
+
     fn update_endpoints(&mut self) {
         let addresses = self.endpoint_addresses.borrow_and_update();
         let server_with_id = |(name, &address): (&String, &SocketAddr)| {
--- a/src/net/session/admission.rs
+++ b/src/net/session/admission.rs
@@ -6,13 +6,15 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use super::attempt::{RESTORE_TIMEOUT, Session};
+use super::attempt::Session;
 use super::connection::LineConnection;
 use super::first_line::{ClientError, FirstLine, read_first_line};
 use super::frontend::{DEFAULT_RETRY_AFTER, Frontend, connection_request};
 use crate::engine::open_ids::RequestIdClaim;
 use crate::metrics::{CloseReason, Counter};
-use crate::net::messages::{ConnectionRequest, SESSION_COMMAND_QUEUE, SessionEvent, to_span};
+use crate::net::messages::{
+    ConnectionRequest, RESTORE_TIMEOUT, SESSION_COMMAND_QUEUE, SessionEvent, to_span,
+};
 use crate::net::pending_clients::{PendingSlot, SessionPermit};
 use crate::net::rate_limited_log::RateLimitedLog;
 
--- a/src/net/session/attempt.rs
+++ b/src/net/session/attempt.rs
@@ -22,12 +22,9 @@
 use crate::engine::open_ids::RequestIdClaim;
 use crate::metrics::{CloseReason, Counter};
 use crate::net::connect::{ConnectFailure, connect};
-use crate::net::messages::{RequestCommand, SessionCommand, SessionEvent, to_duration};
+use crate::net::messages::{RESTORE_TIMEOUT, RequestCommand, SessionCommand, SessionEvent, to_duration};
 use crate::net::rate_limited_log::RateLimitedLog;
 
-/// Time limit for restoring a connection that existed before the start, unless the client waits longer. A
-/// connection that is not established by then is lost.
-pub(super) const RESTORE_TIMEOUT: Duration = Duration::from_secs(40);
 /// Delay between two attempts to reach the server of a connection that is being restored.
 const RESTORE_RETRY_DELAY: Duration = Duration::from_millis(300);
 
