Both processes of an upgrade know the ids of each other's open requests

Cause: OpenIds belonged to one process; siblings exchanged counts only.

Change: state messages between siblings carry the ids opened and closed since the last one (a field that older versions ignore and need not send). OpenIds::claim refuses a sibling's ids; handed-off connections are adopted. Claims outlive a handoff, and a sibling's exit, by a second.

--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod established_connection;
 mod message;
+mod open_id_changes;
 mod persisted_state;
 mod process_state;
 
@@ -18,5 +19,6 @@
     EstablishedConnection, HandoffDecodeError, MAX_HANDOFF_LENGTH, PendingBytes,
 };
 pub use message::{MAX_MESSAGE_LENGTH, SiblingMessage, SiblingMessageCodec, SiblingMessageError};
+pub use open_id_changes::OpenIdChanges;
 pub use persisted_state::PersistedState;
 pub use process_state::{ProcessState, ServerUsage, SiblingSummary, rank_after};
--- a/src/handover/process_state.rs
+++ b/src/handover/process_state.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Cordons, Deployment};
+use super::{Cordons, Deployment, OpenIdChanges};
 
 /// Connections, recovery tokens and permits of one server that a process uses.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
@@ -54,6 +54,10 @@
     pub server_usage: BTreeMap<String, ServerUsage>,
     /// Cordons and uncordons by operators.
     pub cordons: Cordons,
+    /// Changes of the open request ids since the previous state on the same connection. Older versions send
+    /// and read none.
+    #[serde(rename = "ids", skip_serializing_if = "OpenIdChanges::is_empty")]
+    pub open_id_changes: OpenIdChanges,
 }
 
 /// Returns the rank of a process that starts at `unix_micros` while siblings have `existing_ranks`.
--- a/src/main.rs
+++ b/src/main.rs
@@ -438,29 +438,29 @@
     /// Starts accepting new clients, and adopting the connections that a sibling hands off.
     fn start_clients(&self, listener: TcpListener, handover: Handover) {
         let timeouts = session::Timeouts { connect: to_duration(self.config.settings.connect_timeout()) };
-        let pending_clients = self.pending_clients.clone();
         let frontend = session::Frontend::new(
-            pending_clients.clone(),
+            self.pending_clients.clone(),
             timeouts,
             self.handle.clone(),
             handover.successor,
         );
-        if let Some(receiver) = handover.receiver {
-            tokio::spawn(listen::adopt_connections(receiver, frontend.clone()));
-        }
-        let closing = self.event_loop.closing();
-        tokio::spawn(listen::accept_clients(listener, frontend, self.accepting.subscribe(), closing));
         if let (Some(discovered), Some(state_folder)) = (handover.discovered, self.state_folder.clone()) {
             let context = handover::SiblingContext {
                 published: handover.published,
-                pending_clients,
+                pending_clients: self.pending_clients.clone(),
                 accepting: self.accepting.clone(),
                 event_loop: self.handle.clone(),
                 state_folder,
                 successor: handover.successor_sender,
+                open_ids: frontend.open_ids().clone(),
             };
-            tokio::spawn(handover::run(discovered, context));
+            handover::start(discovered, context);
+        }
+        if let Some(receiver) = handover.receiver {
+            tokio::spawn(listen::adopt_connections(receiver, frontend.clone()));
         }
+        let closing = self.event_loop.closing();
+        tokio::spawn(listen::accept_clients(listener, frontend, self.accepting.subscribe(), closing));
     }
 
     /// Starts the QUIC front end. If VRRP is configured, starts it as well, and the front end accepts new
--- a/src/net/handover/connections.rs
+++ b/src/net/handover/connections.rs
@@ -19,7 +19,8 @@
 use super::link::PublishedState;
 use super::state_folder::StateFolder;
 use crate::discovery::EndpointList;
-use crate::handover::{ProcessState, SiblingMessage, SiblingSummary};
+use crate::engine::open_ids::{OpenIdFollower, OpenIds};
+use crate::handover::{MAX_MESSAGE_LENGTH, ProcessState, SiblingMessage, SiblingSummary};
 use crate::net::connection_handoff::Successor;
 use crate::net::messages::{DriverEvent, EventLoopHandle};
 use crate::net::pending_clients::PendingClients;
@@ -29,6 +30,19 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time for which changes of the open request ids are collected before they are sent to a sibling.
+const ID_BATCH_DELAY: Duration = Duration::from_millis(50);
+/// Maximum total length of the request ids in one message, in bytes.
+const MAX_IDS_LENGTH: usize = MAX_MESSAGE_LENGTH / 8;
+/// Time for which the ids of a sibling that has exited remain claimed.
+const SIBLING_IDS_LINGER: Duration = Duration::from_secs(1);
+
+/// Waits for changes of the open request ids, and collects further ones for a moment.
+async fn next_id_batch(open_ids: &mut OpenIdFollower) {
+    open_ids.changed().await;
+    sleep(ID_BATCH_DELAY).await;
+}
+
 /// State of this process that the connections to siblings read and change.
 #[derive(Clone)]
 pub struct SiblingContext {
@@ -44,22 +58,21 @@
     pub state_folder: StateFolder,
     /// Successor; `None` until a sibling takes over established connections.
     pub successor: watch::Sender<Option<Arc<Successor>>>,
+    /// Request ids that are open at this gateway.
+    pub open_ids: OpenIds,
 }
 
-/// Serves the discovered siblings and accepts connections of later ones, until the process exits.
-pub async fn run(siblings: DiscoveredSiblings, context: SiblingContext) {
+/// Claims the request ids that are open at the discovered siblings, then serves these and accepts connections
+/// of later ones in a new task, until the process exits. Call it before clients are accepted.
+pub fn start(siblings: DiscoveredSiblings, context: SiblingContext) {
+    for (number, connection) in (0..).zip(&siblings.connections) {
+        if let Some(state) = &connection.state {
+            context.open_ids.apply_sibling_changes(number, &state.open_id_changes);
+        }
+    }
     let own_rank = context.published.borrow().process.rank;
     let connections = SiblingConnections { own_rank, context, sibling_states: Arc::default() };
-    let mut next_number = 0;
-    for SiblingConnection { messages, writer, state } in siblings.connections {
-        let is_verified = state.is_some();
-        connections.update_sibling(next_number, Some(state.unwrap_or_default())).await;
-        tokio::spawn(connections.create_session(next_number, messages, writer, is_verified).run());
-        next_number += 1;
-    }
-    if let Some(listener) = siblings.listener {
-        connections.accept_siblings(listener, next_number).await;
-    }
+    tokio::spawn(connections.serve(siblings));
 }
 
 /// Set of all connections to siblings.
@@ -76,6 +89,19 @@
         self.sibling_states.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    async fn serve(self, siblings: DiscoveredSiblings) {
+        let mut next_number = 0;
+        for SiblingConnection { messages, writer, state } in siblings.connections {
+            let is_verified = state.is_some();
+            self.update_sibling(next_number, Some(state.unwrap_or_default())).await;
+            tokio::spawn(self.create_session(next_number, messages, writer, is_verified).run());
+            next_number += 1;
+        }
+        if let Some(listener) = siblings.listener {
+            self.accept_siblings(listener, next_number).await;
+        }
+    }
+
     async fn accept_siblings(&self, listener: UnixListener, mut last_number: u64) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
@@ -102,6 +128,7 @@
     ) -> SiblingSession {
         SiblingSession {
             published: self.context.published.clone(),
+            open_ids: self.context.open_ids.follow(),
             connections: self.clone(),
             number,
             messages,
@@ -171,6 +198,8 @@
     messages: MessageReader,
     writer: UnixWriter,
     published: watch::Receiver<PublishedState>,
+    /// Request ids of this process that the sibling has not been sent.
+    open_ids: OpenIdFollower,
     /// Whether the sibling's state has shown that it is of the same deployment. Its endpoint list is not used
     /// before.
     is_verified: bool,
@@ -186,6 +215,9 @@
         self.published.mark_changed();
         while self.serve_next().await.is_continue() {}
         self.connections.update_sibling(self.number, None).await;
+        // Connections that the sibling has handed off may not have been adopted yet.
+        sleep(SIBLING_IDS_LINGER).await;
+        self.connections.context.open_ids.forget_sibling(self.number);
     }
 
     async fn serve_next(&mut self) -> ControlFlow<()> {
@@ -203,6 +235,7 @@
                 Ok(()) => self.send_published_state().await,
                 Err(_) => ControlFlow::Break(()),
             },
+            () = next_id_batch(&mut self.open_ids) => self.send_published_state().await,
         }
     }
 
@@ -212,6 +245,7 @@
             return ControlFlow::Break(());
         }
         self.is_verified = true;
+        self.connections.context.open_ids.apply_sibling_changes(self.number, &state.open_id_changes);
         self.connections.update_sibling(self.number, Some(state)).await;
         match self.unverified_list.take() {
             Some(list) => self.handle_list(list).await,
@@ -238,7 +272,13 @@
             self.sent_list_index = Some(list.index);
             lines.extend_from_slice(&SiblingMessage::List(EndpointList::clone(&list)).encode_line());
         }
-        lines.extend_from_slice(&SiblingMessage::State(process).encode_line());
+        loop {
+            process.open_id_changes = self.open_ids.take(MAX_IDS_LENGTH);
+            lines.extend_from_slice(&SiblingMessage::State(process.clone()).encode_line());
+            if !self.open_ids.has_untaken() {
+                break;
+            }
+        }
         match timeout(WRITE_TIMEOUT, self.writer.write_all(&lines)).await {
             Ok(Ok(())) => ControlFlow::Continue(()),
             _ => ControlFlow::Break(()),
--- a/src/net/handover/mod.rs
+++ b/src/net/handover/mod.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpListener;
 
 pub use clock::{CLOCK_OFFSET_VARIABLE, unix_micros};
-pub use connections::{SiblingContext, run};
+pub use connections::{SiblingContext, start};
 pub use discovery::{DiscoveredSiblings, discover_siblings};
 pub use link::{PublishedState, SiblingLink};
 pub use state_folder::StateFolder;
--- a/src/net/session/frontend.rs
+++ b/src/net/session/frontend.rs
@@ -51,6 +51,11 @@
         Self { pending_clients, timeouts, event_loop, open_ids: OpenIds::default(), successor }
     }
 
+    /// Returns the ids of open requests.
+    pub fn open_ids(&self) -> &OpenIds {
+        &self.open_ids
+    }
+
     /// Sends a client its last line and closes its connection; counts a client that did not read the line.
     pub(super) async fn finish_client(&self, client: LineConnection, last_line: &[u8]) {
         if !client.finish(last_line).await {
--- a/src/net/session/handoff.rs
+++ b/src/net/session/handoff.rs
@@ -2,11 +2,13 @@
 //! successor.
 
 use std::os::fd::{AsFd, OwnedFd};
+use std::time::Duration;
 
 use ashtide_protocol::{ClientSide, MOVE, Open, ServerSide};
 use bytes::{Bytes, BytesMut};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 use super::attempt::{EstablishedServer, Session};
 use super::connection::{LineConnection, complete_line};
@@ -19,6 +21,9 @@
 /// Attempt number of an adopted connection. An older process made the attempt.
 const ADOPTED_ATTEMPT: u32 = 0;
 
+/// Time within which the successor claims the id of a connection that was handed off to it.
+const ADOPTION_TIME: Duration = Duration::from_secs(1);
+
 /// A request with an id that this process has claimed.
 struct ClaimedRequest {
     open: Open,
@@ -68,7 +73,7 @@
 
     fn claim(&self, open_line: Bytes) -> Option<ClaimedRequest> {
         let open = Open::parse(open_line).ok()?;
-        let id_claim = self.open_ids.claim(&open.id)?;
+        let id_claim = self.open_ids.adopt(&open.id)?;
         Some(ClaimedRequest { open, id_claim })
     }
 
@@ -98,7 +103,6 @@
         to_server: Bytes,
     ) {
         let Self { open, client, frontend, id_claim, .. } = self;
-        drop(id_claim);
         let Ok(client) = client.detach() else { return };
         let Ok(server) = server.detach() else { return };
         let established = EstablishedConnection {
@@ -111,15 +115,23 @@
         if let (Some(successor), Some(datagram)) = (successor, established.encode())
             && successor.hand_off(&datagram, [client.stream.as_fd(), server.stream.as_fd()]).await.is_ok()
         {
+            tokio::spawn(release_after_adoption(id_claim));
             return;
         }
         drop(server.stream);
+        drop(id_claim);
         if let Ok(client) = TcpStream::from_std(client.stream) {
             frontend.finish_client(LineConnection::new(client), &complete_line(to_client, MOVE)).await;
         }
     }
 }
 
+/// Releases the id of a connection that was handed off, once the successor has had time to claim it.
+async fn release_after_adoption(id_claim: RequestIdClaim) {
+    sleep(ADOPTION_TIME).await;
+    drop(id_claim);
+}
+
 fn into_stream(socket: OwnedFd) -> std::io::Result<TcpStream> {
     TcpStream::from_std(std::net::TcpStream::from(socket))
 }
--- a/tests/handover_state.rs
+++ b/tests/handover_state.rs
@@ -5,8 +5,8 @@
 
 use ashtide::handover::{
     CordonChange, CordonTransition, Cordons, Deployment, EstablishedConnection, MAX_HANDOFF_LENGTH,
-    MAX_MESSAGE_LENGTH, PendingBytes, PersistedState, ProcessState, ServerUsage, SiblingMessage,
-    SiblingMessageCodec, SiblingSummary, rank_after,
+    MAX_MESSAGE_LENGTH, OpenIdChanges, PendingBytes, PersistedState, ProcessState, ServerUsage,
+    SiblingMessage, SiblingMessageCodec, SiblingSummary, rank_after,
 };
 use ashtide::net::handover::StateFolder;
 use bytes::BytesMut;
@@ -45,6 +45,10 @@
         server_usage,
         cordons,
         deployment: None,
+        open_id_changes: OpenIdChanges {
+            opened: vec!["a".to_owned(), "b \"c\"\n".to_owned()],
+            closed: vec!["d".to_owned()],
+        },
     }
 }
 
