Limit the log lines for discarded VRRP packets

Cause: net::vrrp logged every packet of a stranger, so that a flood filled the log and held up the process. Change: RateLimitedLog, as for other senders.

--- a/src/net/vrrp.rs
+++ b/src/net/vrrp.rs
@@ -9,11 +9,14 @@
 
 use crate::config::VrrpConfig;
 use crate::net::bind_retry::bind_udp_with_retry;
+use crate::net::rate_limited_log::RateLimitedLog;
 use crate::vrrp::{Advertisement, RouterAction, RouterState, VirtualRouter};
 
 /// Size of the receive buffer in bytes. A longer packet is truncated, and is no valid advertisement anyway.
 const MAX_PACKET_LENGTH: usize = 128;
 
+static DISCARDED_PACKETS: RateLimitedLog = RateLimitedLog::new("vrrp");
+
 /// Runs a virtual router until `stop` becomes true, and publishes on `active` whether it is the active
 /// router. The router starts as soon as its address is free.
 pub async fn run(config: VrrpConfig, active: watch::Sender<bool>, mut stop: watch::Receiver<bool>) {
@@ -98,11 +101,11 @@
             }
             Ok(_) | Err(_) => {
                 self.discarded_packets += 1;
-                info!(
-                    "vrrp: discarded a packet from {sender}, \
+                DISCARDED_PACKETS.log(format_args!(
+                    "discarded a packet from {sender}, \
                      which is invalid or not from a configured peer; {} discarded so far",
                     self.discarded_packets
-                );
+                ));
             }
         }
     }
--- a/tests/flooding_datagrams.rs
+++ b/tests/flooding_datagrams.rs
@@ -98,3 +98,26 @@
     let answers = flood.stop();
     assert!(answers <= windows * MAX_ANSWERS_PER_WINDOW, "{answers} answers in {windows} windows");
 }
+
+/// Guards against a log that grows with every packet that a stranger sends to the virtual router.
+#[tokio::test]
+async fn a_flood_of_invalid_vrrp_packets_does_not_fill_the_log() {
+    const PACKETS: usize = 5000;
+    let socket = UdpSocket::bind("127.0.0.4:0").expect("a free port");
+    let router = socket.local_addr().expect("a bound socket");
+    drop(socket);
+    let vrrp = format!(
+        "[vrrp]\nrouter = 7\npriority = 200\ninterval_ms = 50\nlisten = \"{router}\"\n\
+         peers = [\"127.0.0.4:9\"]\naddresses = [\"127.0.0.100\"]\n"
+    );
+    let (_backend, daemon) = start(Options { paths: CLIENTS, vrrp, ..Options::default() }).await;
+    daemon.wait_for_log_line("vrrp: router 7 is Active").await.expect("an active router");
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    for _ in 0..PACKETS {
+        let _ = stranger.send_to(b"x", router);
+    }
+    daemon.wait_for_log_line("vrrp: discarded").await.expect("a line");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let lines = daemon.log_lines().iter().filter(|line| line.starts_with("vrrp: discarded")).count();
+    assert!(lines <= PACKETS / 50, "{lines} lines");
+}
