An id whose request may have been executed is not accepted again

Operators saw (other deployments): an id ran twice when it came again after its client had left.

Cause: OpenIds released an id at the end of its request, whatever had become of it; the rule on repeats held for the attempts of one request only.

Change: a claim records whether its request may have been executed, for classes with token or side_effect. Outcomes that prove the contrary, and a final BUSY, free the id. Classes that permit repeats are as before.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -29,6 +29,7 @@
 mod permits;
 mod response_times;
 mod timers;
+mod used_ids;
 
 pub use attempts::EstablishedCounts;
 pub use command::{Command, FinalAnswer};
--- a/src/engine/open_ids.rs
+++ b/src/engine/open_ids.rs
@@ -1,14 +1,19 @@
-//! The ids of requests that are open at this gateway, so that no two open requests have the same id.
+//! The ids of requests that are open at this gateway, so that no two open requests have the same id, and of
+//! those that have ended and may not be executed twice.
 //!
 //! During an upgrade the gateway consists of two processes. Each sends the changes of its ids to the other
 //! one ([`OpenIds::follow`]), and claims no id that the other one has ([`OpenIds::apply_sibling_changes`]).
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::watch;
 
-use crate::handover::OpenIdChanges;
+use super::used_ids::UsedIds;
+use crate::handover::{IdDigest, OpenIdChanges};
+
+/// Maximum length of a digest in a message, in bytes, with its separator.
+const ENCODED_DIGEST_LENGTH: usize = 21;
 
 /// The ids of open requests and connections of all clients of a gateway.
 #[derive(Debug, Clone, Default)]
@@ -24,7 +29,9 @@
     own: HashSet<String>,
     /// Ids of each sibling process, by the number of its connection.
     siblings: BTreeMap<u64, HashSet<String>>,
-    /// Changes of `own` that each follower has not taken yet, by the follower's number.
+    /// Ids of ended requests, of this process and its siblings, that may not be opened again.
+    used: UsedIds,
+    /// Changes of `own` and `used` that each follower has not taken yet, by the follower's number.
     untaken: BTreeMap<u64, UntakenChanges>,
     last_follower: u64,
 }
@@ -33,6 +40,7 @@
 struct UntakenChanges {
     opened: BTreeSet<String>,
     closed: BTreeSet<String>,
+    used: VecDeque<IdDigest>,
 }
 
 /// A claim of a request id, released on drop.
@@ -40,6 +48,7 @@
 pub struct RequestIdClaim {
     ids: OpenIds,
     id: String,
+    is_used: bool,
 }
 
 /// Follows the changes of the ids of this process, beginning with all ids that are open.
@@ -79,13 +88,21 @@
         }
         drop(tables);
         self.changed.send_replace(());
-        Some(RequestIdClaim { ids: self.clone(), id })
+        Some(RequestIdClaim { ids: self.clone(), id, is_used: false })
+    }
+
+    /// Checks whether a request with this id has ended that may have been executed, and may not be executed
+    /// twice.
+    pub fn was_used(&self, id: &[u8]) -> bool {
+        self.tables().used.contains(IdDigest::new(&String::from_utf8_lossy(id)))
     }
 
-    fn release(&self, id: &str) {
+    fn release(&self, id: &str, is_used: bool) {
         let mut tables = self.tables();
         tables.own.remove(id);
+        let used = Some(IdDigest::new(id)).filter(|&digest| is_used && tables.used.insert(digest));
         for untaken in tables.untaken.values_mut() {
+            untaken.used.extend(used);
             untaken.record_closed(id);
         }
         drop(tables);
@@ -98,7 +115,8 @@
         tables.last_follower += 1;
         let number = tables.last_follower;
         let opened = tables.own.iter().cloned().collect();
-        tables.untaken.insert(number, UntakenChanges { opened, closed: BTreeSet::new() });
+        let used = tables.used.iter().collect();
+        tables.untaken.insert(number, UntakenChanges { opened, closed: BTreeSet::new(), used });
         OpenIdFollower { ids: self.clone(), number, changed: self.changed.subscribe() }
     }
 
@@ -108,6 +126,9 @@
             return;
         }
         let mut tables = self.tables();
+        for &digest in &changes.used {
+            tables.used.insert(digest);
+        }
         let ids = tables.siblings.entry(sibling).or_default();
         ids.extend(changes.opened.iter().cloned());
         for id in &changes.closed {
@@ -122,6 +143,17 @@
 }
 
 impl UntakenChanges {
+    fn is_empty(&self) -> bool {
+        self.opened.is_empty() && self.closed.is_empty() && self.used.is_empty()
+    }
+
+    /// Takes digests until their encoded lengths exceed `length_left`, and reduces it.
+    fn take_used(&mut self, length_left: &mut usize) -> Vec<IdDigest> {
+        let count = (*length_left / ENCODED_DIGEST_LENGTH + 1).min(self.used.len());
+        *length_left = length_left.saturating_sub(count * ENCODED_DIGEST_LENGTH);
+        self.used.drain(..count).collect()
+    }
+
     fn record_opened(&mut self, id: &str) {
         if !self.closed.remove(id) {
             self.opened.insert(id.to_owned());
@@ -146,7 +178,7 @@
     pub fn has_untaken(&self) -> bool {
         let tables = self.ids.tables();
         let untaken = tables.untaken.get(&self.number);
-        untaken.is_some_and(|untaken| !(untaken.opened.is_empty() && untaken.closed.is_empty()))
+        untaken.is_some_and(|untaken| !untaken.is_empty())
     }
 
     /// Takes changes with ids of `max_length` bytes in total, but at least one change if there is any.
@@ -154,12 +186,17 @@
         let mut tables = self.ids.tables();
         let Some(untaken) = tables.untaken.get_mut(&self.number) else { return OpenIdChanges::default() };
         let mut length_left = max_length;
-        let closed = take_within(&mut untaken.closed, &mut length_left);
-        let opened = match length_left {
-            0 => Vec::new(),
-            _ => take_within(&mut untaken.opened, &mut length_left),
-        };
-        OpenIdChanges { opened, closed }
+        // An id that was used is sent no later than its close, so that the sibling knows it all the time.
+        let used = untaken.take_used(&mut length_left);
+        let mut changes = OpenIdChanges { used, ..OpenIdChanges::default() };
+        for (ids, taken) in
+            [(&mut untaken.closed, &mut changes.closed), (&mut untaken.opened, &mut changes.opened)]
+        {
+            if length_left > 0 || changes.used.is_empty() {
+                *taken = take_within(ids, &mut length_left);
+            }
+        }
+        changes
     }
 }
 
@@ -182,8 +219,21 @@
     }
 }
 
+impl RequestIdClaim {
+    /// Returns whether the id may not be opened again after its release.
+    pub fn is_used(&self) -> bool {
+        self.is_used
+    }
+
+    /// Sets whether the id may not be opened again after its release, because its request may have been
+    /// executed.
+    pub fn set_used(&mut self, is_used: bool) {
+        self.is_used = is_used;
+    }
+}
+
 impl Drop for RequestIdClaim {
     fn drop(&mut self) {
-        self.ids.release(&self.id);
+        self.ids.release(&self.id, self.is_used);
     }
 }
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -19,6 +19,6 @@
     EstablishedConnection, HandoffDecodeError, MAX_HANDOFF_LENGTH, PendingBytes,
 };
 pub use message::{MAX_MESSAGE_LENGTH, SiblingMessage, SiblingMessageCodec, SiblingMessageError};
-pub use open_id_changes::OpenIdChanges;
+pub use open_id_changes::{IdDigest, OpenIdChanges};
 pub use persisted_state::PersistedState;
 pub use process_state::{ProcessState, ServerUsage, SiblingSummary, rank_after};
--- a/src/handover/process_state.rs
+++ b/src/handover/process_state.rs
@@ -57,7 +57,7 @@
     /// Changes of the open request ids since the previous state on the same connection. Older versions send
     /// and read none.
     #[serde(rename = "ids", skip_serializing_if = "OpenIdChanges::is_empty")]
-    pub open_id_changes: OpenIdChanges,
+    pub open_id_changes: Box<OpenIdChanges>,
 }
 
 /// Returns the rank of a process that starts at `unix_micros` while siblings have `existing_ranks`.
--- a/src/main.rs
+++ b/src/main.rs
@@ -443,7 +443,8 @@
             timeouts,
             self.handle.clone(),
             handover.successor,
-        );
+        )
+        .with_unrepeatable_classes(self.config.settings.unrepeatable_classes());
         if let (Some(discovered), Some(state_folder)) = (handover.discovered, self.state_folder.clone()) {
             let context = handover::SiblingContext {
                 published: handover.published,
--- a/src/net/handover/connections.rs
+++ b/src/net/handover/connections.rs
@@ -273,7 +273,7 @@
             lines.extend_from_slice(&SiblingMessage::List(EndpointList::clone(&list)).encode_line());
         }
         loop {
-            process.open_id_changes = self.open_ids.take(MAX_IDS_LENGTH);
+            *process.open_id_changes = self.open_ids.take(MAX_IDS_LENGTH);
             lines.extend_from_slice(&SiblingMessage::State(process.clone()).encode_line());
             if !self.open_ids.has_untaken() {
                 break;
--- a/src/net/session/admission.rs
+++ b/src/net/session/admission.rs
@@ -104,6 +104,9 @@
         if open.restored_server.is_some() && self.pending_clients.restore_phase_is_over() {
             return Err(invalid(ClientError::RestoreAfterStart));
         }
+        if self.open_ids.was_used(&open.id) {
+            return Err(invalid(ClientError::UsedId));
+        }
         let Some(id_claim) = self.open_ids.claim(&open.id) else {
             return Err(invalid(ClientError::DuplicateId));
         };
--- a/src/net/session/attempt.rs
+++ b/src/net/session/attempt.rs
@@ -83,11 +83,15 @@
         loop {
             let client_end = match self.next_command().await {
                 Ok(Some(SessionCommand::StartAttempt { attempt, address, timeout })) => {
+                    let was_used = self.id_claim.is_used();
                     match self.make_attempt(attempt, address, to_duration(timeout)).await {
                         Ok(server) => return self.establish(attempt, server).await,
                         Err(AttemptEnd::Client(end)) => end,
                         Err(AttemptEnd::Cancelled) => continue,
                         Err(AttemptEnd::Failed(outcome)) => {
+                            if outcome.proves_not_executed() {
+                                self.id_claim.set_used(was_used);
+                            }
                             self.send(SessionEvent::AttemptEnded { id: self.id, attempt, outcome }).await;
                             if self.open.restored_server.is_some() {
                                 return self.answer(FinalAnswer::Failed).await;
@@ -132,6 +136,13 @@
         self.frontend.event_loop.count(counter, &self.open.class);
     }
 
+    /// Records that the request may be executed from now on.
+    fn mark_id_used(&mut self) {
+        if !self.frontend.is_repeatable(&self.open.class) {
+            self.id_claim.set_used(true);
+        }
+    }
+
     async fn client_left(self) {
         self.frontend.event_loop.count_closed(CloseReason::ClientLeft);
         self.send(SessionEvent::ClientLeft { id: self.id }).await;
@@ -155,7 +166,11 @@
         self.frontend.finish_client(self.client, &answer).await;
     }
 
-    async fn answer(self, answer: FinalAnswer) {
+    async fn answer(mut self, answer: FinalAnswer) {
+        if matches!(answer, FinalAnswer::Rejected(_)) {
+            // A rejection states that the request was not executed.
+            self.id_claim.set_used(false);
+        }
         let (counter, line) = match answer {
             FinalAnswer::Rejected(wait) => (Counter::Rejected, busy(to_duration(wait))),
             FinalAnswer::Failed => (Counter::Failed, Bytes::from_static(FAILED)),
@@ -202,6 +217,7 @@
         let event_loop = self.frontend.event_loop.clone();
         let class = self.open.class.clone();
         let count_attempt = || event_loop.count(Counter::Attempts, &class);
+        self.mark_id_used();
         self.run_step(attempt, exchange_first_lines(server, &line, count_attempt)).await?
     }
 
@@ -219,6 +235,7 @@
         let event_loop = self.frontend.event_loop.clone();
         let class = self.open.class.clone();
         let count_attempt = || event_loop.count(Counter::Attempts, &class);
+        self.mark_id_used();
         let restore_with_retries = async {
             loop {
                 let result = match open_connection(address, connect_timeout).await {
--- a/src/net/session/first_line.rs
+++ b/src/net/session/first_line.rs
@@ -44,6 +44,9 @@
     /// The id of the request is in use by another open request.
     #[error("request id is already used by an open request")]
     DuplicateId,
+    /// A request with the id has ended that may have been executed, and may not be executed twice.
+    #[error("request id was used by a request that may have been executed")]
+    UsedId,
     /// The request names a server, which is permitted only during the restore phase.
     #[error("request names a server with 'at=' after the end of the restore phase")]
     RestoreAfterStart,
--- a/src/net/session/frontend.rs
+++ b/src/net/session/frontend.rs
@@ -1,5 +1,6 @@
 //! The front end of the line protocol: the state shared by all its clients.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,6 +37,8 @@
     pub(super) timeouts: Timeouts,
     pub(super) event_loop: EventLoopHandle,
     pub(super) open_ids: OpenIds,
+    /// Names of the classes whose requests may not be executed twice.
+    unrepeatable_classes: Arc<HashSet<String>>,
     /// The process that adopts established connections when this one shuts down, once it is known.
     pub(super) successor: watch::Receiver<Option<Arc<Successor>>>,
 }
@@ -48,7 +51,26 @@
         event_loop: EventLoopHandle,
         successor: watch::Receiver<Option<Arc<Successor>>>,
     ) -> Self {
-        Self { pending_clients, timeouts, event_loop, open_ids: OpenIds::default(), successor }
+        Self {
+            pending_clients,
+            timeouts,
+            event_loop,
+            open_ids: OpenIds::default(),
+            unrepeatable_classes: Arc::default(),
+            successor,
+        }
+    }
+
+    /// Sets the names of the classes whose requests may not be executed twice. An id of such a request is not
+    /// accepted again once the request may have been executed.
+    #[must_use]
+    pub fn with_unrepeatable_classes(self, classes: impl IntoIterator<Item = String>) -> Self {
+        Self { unrepeatable_classes: Arc::new(classes.into_iter().collect()), ..self }
+    }
+
+    /// Returns whether requests of this class may be executed twice.
+    pub(super) fn is_repeatable(&self, class: &str) -> bool {
+        !self.unrepeatable_classes.contains(class)
     }
 
     /// Returns the ids of open requests.
--- a/src/net/session/handoff.rs
+++ b/src/net/session/handoff.rs
@@ -73,7 +73,8 @@
 
     fn claim(&self, open_line: Bytes) -> Option<ClaimedRequest> {
         let open = Open::parse(open_line).ok()?;
-        let id_claim = self.open_ids.adopt(&open.id)?;
+        let mut id_claim = self.open_ids.adopt(&open.id)?;
+        id_claim.set_used(!self.is_repeatable(&open.class));
         Some(ClaimedRequest { open, id_claim })
     }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,7 +10,7 @@
 use smart_default::SmartDefault;
 
 use crate::decision::interface::{
-    DiscoveryMode, GatewayId, Prices, RequestClass, Settings, Span, Tenant, WeightMode, ZoneId,
+    DiscoveryMode, GatewayId, Idempotency, Prices, RequestClass, Settings, Span, Tenant, WeightMode, ZoneId,
 };
 pub(crate) use document::remove_nulls;
 use document::{ClassSettings, CustomerSettings, FamilyInfo, LimitSettings, PriceSettings, RuleSettings};
@@ -132,6 +132,12 @@
         self.limits.peers
     }
 
+    /// Returns the names of the classes whose requests may not be executed twice.
+    pub fn unrepeatable_classes(&self) -> Vec<String> {
+        let unrepeatable = self.classes.iter().filter(|class| class.idempotency() != Idempotency::Idempotent);
+        unrepeatable.map(|class| class.name.clone()).collect()
+    }
+
     /// Returns the quotas of the tenants that have one.
     pub fn tenant_quotas(&self) -> Vec<TenantQuota> {
         let with_quota = self.customers.iter().enumerate().filter(|(_, customer)| customer.quota_per_s > 0.0);
--- a/tests/compatibility_handover.rs
+++ b/tests/compatibility_handover.rs
@@ -11,8 +11,8 @@
 
 use ashtide::discovery::EndpointList;
 use ashtide::handover::{
-    CordonChange, Cordons, Deployment, EstablishedConnection, OpenIdChanges, PendingBytes, PersistedState,
-    ProcessState, ServerUsage, SiblingMessage, SiblingMessageCodec,
+    CordonChange, Cordons, Deployment, EstablishedConnection, PendingBytes, PersistedState, ProcessState,
+    ServerUsage, SiblingMessage, SiblingMessageCodec,
 };
 use ashtide::net::connection_handoff::{HandoffReceiver, ReceivedConnection, Successor};
 use ashtide::net::handover::{CLOCK_OFFSET_VARIABLE, StateFolder};
@@ -63,7 +63,7 @@
         descriptors: 40,
         server_usage: BTreeMap::from([("s-1".to_owned(), usage), ("s-0".to_owned(), ServerUsage::default())]),
         cordons: cordons(),
-        open_id_changes: OpenIdChanges::default(),
+        open_id_changes: Box::default(),
     }
 }
 
--- a/tests/handover_state.rs
+++ b/tests/handover_state.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ashtide::handover::{
-    CordonChange, CordonTransition, Cordons, Deployment, EstablishedConnection, MAX_HANDOFF_LENGTH,
+    CordonChange, CordonTransition, Cordons, Deployment, EstablishedConnection, IdDigest, MAX_HANDOFF_LENGTH,
     MAX_MESSAGE_LENGTH, OpenIdChanges, PendingBytes, PersistedState, ProcessState, ServerUsage,
     SiblingMessage, SiblingMessageCodec, SiblingSummary, rank_after,
 };
@@ -45,10 +45,11 @@
         server_usage,
         cordons,
         deployment: None,
-        open_id_changes: OpenIdChanges {
+        open_id_changes: Box::new(OpenIdChanges {
             opened: vec!["a".to_owned(), "b \"c\"\n".to_owned()],
             closed: vec!["d".to_owned()],
-        },
+            used: vec![IdDigest::new("d")],
+        }),
     }
 }
 
