A client's reset is passed on while its lines wait for a slow server

Cause: the relay does not read the client while a line waits for the server, and bytes that arrived before a reset are returned before the error. Change: while a line waits, the relay waits for the error state of the client's socket too; a reset ends both sides. After an orderly close all lines are forwarded as before.

--- a/crates/ashtide-stream/src/lib.rs
+++ b/crates/ashtide-stream/src/lib.rs
@@ -18,7 +18,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpStream, UnixStream, tcp, unix};
 
 /// Returns whether the call is to be repeated: immediately after an interruption, and once the socket is
@@ -56,6 +56,15 @@
                 self.0.readable().await
             }
 
+            /// Waits until the peer has reset the connection, also while bytes that it sent before are unread.
+            ///
+            /// # Errors
+            ///
+            /// Fails if the runtime is shut down.
+            pub async fn reset_by_peer(&self) -> io::Result<()> {
+                self.0.ready(Interest::ERROR).await.map(|_| ())
+            }
+
             /// Reunites the halves into the original stream.
             ///
             /// # Errors
--- a/src/net/session/connection.rs
+++ b/src/net/session/connection.rs
@@ -8,9 +8,10 @@
 use std::io::{self, Cursor, Read, Write};
 use std::time::Duration;
 
-use ashtide_protocol::LineCodec;
+use ashtide_protocol::{LineCodec, LineError};
 use ashtide_stream::{TcpReader, TcpWriter, split_tcp};
 use bytes::{Buf, Bytes, BytesMut};
+use futures_util::StreamExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Chain};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -41,6 +42,14 @@
     pub(super) writer: TcpWriter,
 }
 
+/// Input of a connection while it is relayed.
+pub(super) enum Input {
+    /// The next line, or the end of the input.
+    Line(Option<Result<Bytes, LineError>>),
+    /// The peer has reset the connection.
+    Reset,
+}
+
 /// A socket without a reader, and the bytes that were read from it but not returned as lines.
 pub(super) struct DetachedSocket {
     pub(super) stream: std::net::TcpStream,
@@ -66,6 +75,18 @@
         self.lines.get_ref().get_ref().1.readable().await
     }
 
+    /// Reads the next line if `may_read`, and otherwise waits until the peer resets the connection. A peer that
+    /// has reset it is not waiting for anything, so that its unread lines are not to be forwarded.
+    pub(super) async fn next_input(lines: &mut Lines, may_read: bool) -> Input {
+        if may_read {
+            return Input::Line(lines.next().await);
+        }
+        let (_, reader) = lines.get_ref().get_ref();
+        // An error means that the runtime is shut down.
+        let _ = reader.reset_by_peer().await;
+        Input::Reset
+    }
+
     /// Checks whether an incomplete line is buffered.
     pub(super) fn has_partial_line(&self) -> bool {
         !self.lines.read_buffer().is_empty()
--- a/src/net/session/relay.rs
+++ b/src/net/session/relay.rs
@@ -7,7 +7,7 @@
 use tokio::io::AsyncWriteExt;
 
 use super::attempt::{EstablishedServer, Session};
-use super::connection::{LineConnection, complete_line};
+use super::connection::{Input, LineConnection, complete_line};
 use super::frontend::CLIENT_ERRORS;
 use crate::decision::interface::Outcome;
 use crate::metrics::Counter;
@@ -56,16 +56,16 @@
         RelayStop::Ended(RelayEnd::ServerEnded(self.server_side.ending().into()))
     }
 
-    fn handle_client_line(&mut self, line: Option<Result<Bytes, LineError>>) -> Option<RelayStop> {
-        let end = match line {
-            Some(Ok(line)) => {
+    fn handle_client_input(&mut self, input: Input) -> Option<RelayStop> {
+        let end = match input {
+            Input::Line(Some(Ok(line))) => {
                 self.to_server = line;
                 return None;
             }
-            None if self.client_gone => RelayEnd::ClientReset,
-            None => RelayEnd::ClientClosed,
-            Some(Err(LineError::Io(_))) => RelayEnd::ClientReset,
-            Some(Err(error)) => {
+            Input::Line(None) if self.client_gone => RelayEnd::ClientReset,
+            Input::Line(None) => RelayEnd::ClientClosed,
+            Input::Reset | Input::Line(Some(Err(LineError::Io(_)))) => RelayEnd::ClientReset,
+            Input::Line(Some(Err(error))) => {
                 CLIENT_ERRORS.log(error);
                 RelayEnd::ClientClosed
             }
@@ -103,6 +103,7 @@
                 break state.server_ended();
             }
             let can_read_server = state.to_client.is_empty() && !state.server_finished && !state.client_gone;
+            let can_read_client = state.to_server.is_empty();
             let stop = tokio::select! {
                 written = self.client.writer.write_buf(&mut state.to_client), if !state.to_client.is_empty() => {
                     self.handle_client_write(&mut state, written.is_ok());
@@ -112,7 +113,9 @@
                     self.handle_server_write(&state, written.is_ok()).await
                 }
                 line = server.lines.next(), if can_read_server => self.handle_server_line(&mut state, line).await,
-                line = self.client.lines.next(), if state.to_server.is_empty() => state.handle_client_line(line),
+                input = LineConnection::next_input(&mut self.client.lines, can_read_client) => {
+                    state.handle_client_input(input)
+                }
                 command = self.commands.recv() => state.handle_command(command),
             };
             if let Some(stop) = stop {
