Open ids are sent to a sibling before the ids that may not be opened again

Up to 65,536 digests came before the open ids of the first message, so that a new process could accept a client before it knew them. The order is opened, used, closed now; used still comes no later than closed.

--- a/src/engine/open_ids.rs
+++ b/src/engine/open_ids.rs
@@ -181,22 +181,23 @@
         untaken.is_some_and(|untaken| !untaken.is_empty())
     }
 
-    /// Takes changes with ids of `max_length` bytes in total, but at least one change if there is any.
+    /// Takes changes with ids of about `max_length` bytes in total, which must not be zero. The result is empty
+    /// only if there are no changes.
     pub fn take(&self, max_length: usize) -> OpenIdChanges {
         let mut tables = self.ids.tables();
         let Some(untaken) = tables.untaken.get_mut(&self.number) else { return OpenIdChanges::default() };
         let mut length_left = max_length;
+        let opened = take_within(&mut untaken.opened, &mut length_left);
         // An id that was used is sent no later than its close, so that the sibling knows it all the time.
-        let used = untaken.take_used(&mut length_left);
-        let mut changes = OpenIdChanges { used, ..OpenIdChanges::default() };
-        for (ids, taken) in
-            [(&mut untaken.closed, &mut changes.closed), (&mut untaken.opened, &mut changes.opened)]
-        {
-            if length_left > 0 || changes.used.is_empty() {
-                *taken = take_within(ids, &mut length_left);
-            }
-        }
-        changes
+        let used = match length_left {
+            0 => Vec::new(),
+            _ => untaken.take_used(&mut length_left),
+        };
+        let closed = match length_left {
+            0 => Vec::new(),
+            _ => take_within(&mut untaken.closed, &mut length_left),
+        };
+        OpenIdChanges { opened, closed, used }
     }
 }
 
