Read again: one answer path for restores, one adoption time, no digests that nothing needs

Now only those releases do, and admissions once there is such an id. Three functions answered pending restores, each with its own loop: they share one. The second in which both processes of an upgrade keep an id stood twice under two names: ADOPTION_TIME serves both. 'handing over' is 'handover started'. Behaviour is unchanged.

--- a/src/engine/open_ids.rs
+++ b/src/engine/open_ids.rs
@@ -94,13 +94,14 @@
     /// Checks whether a request with this id has ended that may have been executed, and may not be executed
     /// twice.
     pub fn was_used(&self, id: &[u8]) -> bool {
-        self.tables().used.contains(IdDigest::new(&String::from_utf8_lossy(id)))
+        let tables = self.tables();
+        !tables.used.is_empty() && tables.used.contains(IdDigest::new(&String::from_utf8_lossy(id)))
     }
 
     fn release(&self, id: &str, is_used: bool) {
         let mut tables = self.tables();
         tables.own.remove(id);
-        let used = Some(IdDigest::new(id)).filter(|&digest| is_used && tables.used.insert(digest));
+        let used = is_used.then(|| IdDigest::new(id)).filter(|&digest| tables.used.insert(digest));
         for untaken in tables.untaken.values_mut() {
             untaken.used.extend(used);
             untaken.record_closed(id);
--- a/src/engine/used_ids.rs
+++ b/src/engine/used_ids.rs
@@ -29,6 +29,10 @@
         true
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
     pub(super) fn contains(&self, digest: IdDigest) -> bool {
         self.digests.contains(&digest)
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -482,9 +482,10 @@
             endpoint_addresses: self.event_loop.server_addresses(),
             list_confirmed: self.event_loop.list_confirmed(),
             accepts_connections,
-            handing_over: self.event_loop.handing_over(),
+            handover_started: self.event_loop.handover_started(),
         };
-        let (seed, handle) = (self.config.seed, self.handle.clone());
+        let seed = self.config.seed;
+        let handle = self.handle.clone();
         let stopping = self.stop.subscribe();
         tokio::spawn(async move {
             let socket = match socket {
--- a/src/net/connection_handoff.rs
+++ b/src/net/connection_handoff.rs
@@ -23,6 +23,9 @@
 
 /// Time limit for a connection to wait for space in the successor's receive queue.
 const HANDOFF_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time within which the successor claims the id of a connection that was handed off to it. Until then, both
+/// processes treat the id as open.
+pub(super) const ADOPTION_TIME: Duration = Duration::from_secs(1);
 /// Number of descriptors of a connection: the client's socket and the server's.
 const DESCRIPTORS_PER_CONNECTION: usize = 2;
 
--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -156,7 +156,7 @@
     }
 
     /// Returns a receiver that becomes true when the process begins to hand over to its successor.
-    pub fn handing_over(&self) -> watch::Receiver<bool> {
+    pub fn handover_started(&self) -> watch::Receiver<bool> {
         self.shutdown.subscribe_to_handover()
     }
 
--- a/src/net/event_loop/restores.rs
+++ b/src/net/event_loop/restores.rs
@@ -64,26 +64,28 @@
         }
     }
 
-    /// Answers the requests whose servers were not listed in time.
+    /// Fails the requests whose servers were not listed in time.
     pub(super) fn expire_restores(&mut self) {
         let now = Instant::now();
-        for id in self.pending_restores.matching_ids(|restore| restore.expires_at <= now) {
-            self.pending_restores.remove(id);
-            self.commands.push(Command::Answer { id, answer: FinalAnswer::Failed });
-        }
+        let expired = self.pending_restores.matching_ids(|restore| restore.expires_at <= now);
+        self.answer_restores(expired, FinalAnswer::Failed);
     }
 
-    /// Answers all requests, as discovery has confirmed the list and their servers are not on it.
+    /// Fails all requests, as discovery has confirmed the list and their servers are not on it.
     pub(super) fn fail_restores(&mut self) {
-        for (id, _) in std::mem::take(&mut self.pending_restores.0) {
-            self.commands.push(Command::Answer { id, answer: FinalAnswer::Failed });
-        }
+        let all = self.pending_restores.matching_ids(|_| true);
+        self.answer_restores(all, FinalAnswer::Failed);
     }
 
     /// Rejects all requests, as the process exits. Nothing has been sent to a server for them.
     pub(super) fn reject_restores(&mut self) {
-        for (id, _) in std::mem::take(&mut self.pending_restores.0) {
-            let answer = FinalAnswer::Rejected(self.max_retry_after);
+        let all = self.pending_restores.matching_ids(|_| true);
+        self.answer_restores(all, FinalAnswer::Rejected(self.max_retry_after));
+    }
+
+    fn answer_restores(&mut self, ids: Vec<RequestId>, answer: FinalAnswer) {
+        for id in ids {
+            self.pending_restores.remove(id);
             self.commands.push(Command::Answer { id, answer });
         }
     }
--- a/src/net/event_loop/shutdown.rs
+++ b/src/net/event_loop/shutdown.rs
@@ -27,7 +27,7 @@
     /// Whether only final answers are still written, and no client is accepted any more.
     closing: watch::Sender<bool>,
     /// Whether the process hands over to its successor.
-    handing_over: watch::Sender<bool>,
+    handover_started: watch::Sender<bool>,
 }
 
 struct ShutdownLimits {
@@ -45,7 +45,7 @@
 
     /// Returns a receiver that becomes true when the process begins to hand over to its successor.
     pub(super) fn subscribe_to_handover(&self) -> watch::Receiver<bool> {
-        self.handing_over.subscribe()
+        self.handover_started.subscribe()
     }
 }
 
@@ -56,7 +56,7 @@
         let exit_limit = grace.saturating_sub(CLOSE_MARGIN);
         let answer_limit = exit_limit.saturating_sub(CLOSE_MARGIN);
         if self.sibling_link.successor().is_some() {
-            self.shutdown.handing_over.send_replace(true);
+            self.shutdown.handover_started.send_replace(true);
             self.engine.begin_handover(now, to_span(answer_limit), to_span(exit_limit), &mut self.commands);
             let is_handoff = |command: &&Command| matches!(command, Command::HandOff { .. });
             let handed_off = self.commands.iter().filter(is_handoff).count();
--- a/src/net/handover/connections.rs
+++ b/src/net/handover/connections.rs
@@ -21,7 +21,7 @@
 use crate::discovery::EndpointList;
 use crate::engine::open_ids::{OpenIdFollower, OpenIds};
 use crate::handover::{MAX_MESSAGE_LENGTH, ProcessState, SiblingMessage, SiblingSummary};
-use crate::net::connection_handoff::Successor;
+use crate::net::connection_handoff::{ADOPTION_TIME, Successor};
 use crate::net::messages::{DriverEvent, EventLoopHandle};
 use crate::net::pending_clients::PendingClients;
 
@@ -34,8 +34,6 @@
 const ID_BATCH_DELAY: Duration = Duration::from_millis(50);
 /// Maximum total length of the request ids in one message, in bytes.
 const MAX_IDS_LENGTH: usize = MAX_MESSAGE_LENGTH / 8;
-/// Time for which the ids of a sibling that has exited remain claimed.
-const SIBLING_IDS_LINGER: Duration = Duration::from_secs(1);
 
 /// Waits for changes of the open request ids, and collects further ones for a moment.
 async fn next_id_batch(open_ids: &mut OpenIdFollower) {
@@ -216,7 +214,7 @@
         while self.serve_next().await.is_continue() {}
         self.connections.update_sibling(self.number, None).await;
         // Connections that the sibling has handed off may not have been adopted yet.
-        sleep(SIBLING_IDS_LINGER).await;
+        sleep(ADOPTION_TIME).await;
         self.connections.context.open_ids.forget_sibling(self.number);
     }
 
--- a/src/net/quic/clients.rs
+++ b/src/net/quic/clients.rs
@@ -119,7 +119,7 @@
     /// that encodes no server of the endpoint list is answered once, with a stateless reset, but not before
     /// discovery has confirmed the list: until then, the client's datagram is dropped and sent again by it.
     async fn restore_connection(&mut self, destination: ConnectionId, datagram: &[u8], client: SocketAddr) {
-        if self.is_handing_over() {
+        if self.handover_has_started() {
             // The client's next datagram reaches the successor.
             self.drops.rejected += 1;
             return;
--- a/src/net/quic/mod.rs
+++ b/src/net/quic/mod.rs
@@ -92,7 +92,7 @@
     /// Whether this process accepts new connections.
     pub accepts_connections: watch::Receiver<bool>,
     /// Whether this process hands over to its successor, which then uses the address for clients.
-    pub handing_over: watch::Receiver<bool>,
+    pub handover_started: watch::Receiver<bool>,
 }
 
 /// QUIC front end of a gateway.
@@ -116,7 +116,7 @@
     /// Whether this process accepts new connections.
     accepts_connections: watch::Receiver<bool>,
     /// Whether this process hands over to its successor.
-    handing_over: watch::Receiver<bool>,
+    handover_started: watch::Receiver<bool>,
     answer_limiter: AnswerLimiter,
     drops: DropCounts,
     reported_drops: DropCounts,
@@ -151,7 +151,7 @@
             started_at: Instant::now(),
             servers_by_id: HashMap::new(),
             accepts_connections: inputs.accepts_connections,
-            handing_over: inputs.handing_over,
+            handover_started: inputs.handover_started,
             answer_limiter: AnswerLimiter::default(),
             drops: DropCounts::default(),
             reported_drops: DropCounts::default(),
@@ -175,7 +175,7 @@
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = [0; MAX_DATAGRAM_LENGTH];
         self.update_endpoints();
-        while !(self.is_handing_over() && self.flows.is_empty()) {
+        while !(self.handover_has_started() && self.flows.is_empty()) {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => if let Ok((length, client)) = received {
                     self.handle_client_datagram(&buffer[..length], client).await;
@@ -186,21 +186,21 @@
                 }
                 Ok(()) = self.endpoint_addresses.changed() => self.update_endpoints(),
                 // Checked by the loop's condition.
-                Ok(()) = self.handing_over.changed() => {}
+                Ok(()) = self.handover_started.changed() => {}
                 _ = sweep.tick() => self.sweep().await,
             }
         }
         info!("quic: all connections have ended; the successor may use the address");
     }
 
-    fn is_handing_over(&self) -> bool {
-        *self.handing_over.borrow()
+    fn handover_has_started(&self) -> bool {
+        *self.handover_started.borrow()
     }
 
     /// Returns whether new connections are accepted. A new connection that arrives during a handover is
     /// dropped, and the client's next Initial reaches the successor.
     fn accepts_new_connections(&self) -> bool {
-        *self.accepts_connections.borrow() && !self.is_handing_over()
+        *self.accepts_connections.borrow() && !self.handover_has_started()
     }
 
     /// Returns whether servers that clients are connected with may be missing from the list, because discovery
--- a/src/net/session/handoff.rs
+++ b/src/net/session/handoff.rs
@@ -2,7 +2,6 @@
 //! successor.
 
 use std::os::fd::{AsFd, OwnedFd};
-use std::time::Duration;
 
 use ashtide_protocol::{ClientSide, MOVE, Open, ServerSide};
 use bytes::{Bytes, BytesMut};
@@ -16,14 +15,12 @@
 use crate::decision::interface::RequestId;
 use crate::engine::open_ids::RequestIdClaim;
 use crate::handover::{EstablishedConnection, PendingBytes};
+use crate::net::connection_handoff::ADOPTION_TIME;
 use crate::net::messages::{RequestCommand, SESSION_COMMAND_QUEUE, SessionEvent};
 
 /// Attempt number of an adopted connection. An older process made the attempt.
 const ADOPTED_ATTEMPT: u32 = 0;
 
-/// Time within which the successor claims the id of a connection that was handed off to it.
-const ADOPTION_TIME: Duration = Duration::from_secs(1);
-
 /// A request with an id that this process has claimed.
 struct ClaimedRequest {
     open: Open,
--- a/tests/open_ids.rs
+++ b/tests/open_ids.rs
@@ -18,7 +18,7 @@
 use tokio::io::AsyncReadExt;
 
 /// Time within which a sibling process is told of an id.
-const TOLD_WITHIN: Duration = Duration::from_millis(500);
+const EXCHANGE_TIME: Duration = Duration::from_millis(500);
 
 /// Returns a client that has requested a connection with this id.
 async fn request(address: SocketAddr, id: &str) -> LineClient {
@@ -94,7 +94,7 @@
     let _second = deployment.start(&options).await;
     await_successor(&first).await;
     let _connection = establish(&deployment, address, "aa").await;
-    tokio::time::sleep(TOLD_WITHIN).await;
+    tokio::time::sleep(EXCHANGE_TIME).await;
     accepted.send_line("OPEN aa 7 c=meter,d=3000,g=1").await.expect("an open connection");
     assert_rejected(accepted, "at the old process").await;
 }
